--- /dev/null
+++ b/cmd/arbutus-front/main.go
@@ -0,0 +1,25 @@
+// Command arbutus-front serves callers on an entry host of a deployment whose
+// endpoints have no agents: it talks to the endpoints itself.
+package main
+
+import (
+	"os"
+
+	"github.com/arbutusline/arbutusline/modules/admin"
+	"github.com/arbutusline/arbutusline/modules/directory"
+	"github.com/arbutusline/arbutusline/modules/exchange"
+	"github.com/arbutusline/arbutusline/modules/grpcserver"
+	"github.com/arbutusline/arbutusline/modules/ingress"
+	"github.com/arbutusline/arbutusline/modules/logging"
+	"github.com/arbutusline/arbutusline/modules/node"
+	"github.com/arbutusline/arbutusline/modules/relay"
+	"github.com/arbutusline/arbutusline/modules/upgrade"
+	"github.com/arbutusline/arbutusline/modules/upstream"
+	"github.com/arbutusline/arbutusline/process"
+)
+
+func main() {
+	os.Exit(process.Main("arbutus-front", "Routes callers' requests to endpoints without agents.",
+		logging.Name, node.Name, admin.Name, grpcserver.Name, upstream.Name, directory.Name,
+		relay.Name, exchange.Name, upgrade.Name, ingress.Name))
+}
--- a/decision/budget/budget.go
+++ b/decision/budget/budget.go
@@ -16,11 +16,17 @@
 	bucketWidth  = RetryWindow / retryBuckets
 )
 
-// Retry bounds retries to a tenth of the first attempts of the ten seconds that
-// end with the retry. Counts are kept in buckets: retries of a bucket that is
+// Retry bounds retries to a share of the first attempts of the ten seconds that
+// end with the retry, and a constant beside it. Counts are kept in buckets: retries of a bucket that is
 // partly in the window count in full and first attempts not at all, so the
-// bound is never exceeded. A Retry starts without credit.
+// bound is never exceeded. A Retry starts without credit but its slack.
 type Retry struct {
+	// Ratio is the number of retries that one first attempt allows, 0 for a
+	// tenth.
+	Ratio float64
+	// Slack is the number of retries that are allowed beyond the ratio.
+	Slack float64
+
 	first, retry [retryBuckets + 1]int
 	sumFirst     int
 	sumRetry     int
@@ -36,7 +42,7 @@
 func (r *Retry) advance(now time.Duration) {
 	bucket := int64(now / bucketWidth)
 	if bucket-r.bucket > retryBuckets {
-		*r = Retry{bucket: bucket}
+		*r = Retry{Ratio: r.Ratio, Slack: r.Slack, bucket: bucket}
 		return
 	}
 	for r.bucket < bucket {
@@ -60,10 +66,17 @@
 	r.advance(now)
 	// The oldest bucket is only partly in the window.
 	firsts := r.sumFirst - r.first[slot(r.bucket+1)]
-	if (r.sumRetry+1)*FirstPerRetry > firsts {
+	if float64(r.sumRetry+1) > r.allowed(firsts) {
 		return false
 	}
 	r.retry[slot(r.bucket)]++
 	r.sumRetry++
 	return true
 }
+
+func (r *Retry) allowed(firsts int) float64 {
+	if r.Ratio == 0 {
+		return float64(firsts/FirstPerRetry) + r.Slack
+	}
+	return r.Ratio*float64(firsts) + r.Slack
+}
--- /dev/null
+++ b/decision/replica/replica.go
@@ -0,0 +1,114 @@
+// Package replica keeps a copy of the store's objects of one kind. A process
+// feeds it from its own watch or from the copies of other processes; either
+// way the newest state of each object wins. It is a pure state machine.
+package replica
+
+import "sort"
+
+// Entry is the newest known state of one object.
+type Entry struct {
+	Name string
+	// Revision is the object's last change before it was removed, if it was.
+	Revision uint64
+	// Seen is the store's revision by which the state was known. It orders
+	// entries for Since and is at least Revision.
+	Seen    uint64
+	Spec    []byte
+	Removed bool
+}
+
+// Replica is the copy. It is not safe for concurrent use.
+type Replica struct {
+	revision uint64
+	entries  map[string]Entry
+}
+
+// New returns an empty copy.
+func New() *Replica { return &Replica{entries: map[string]Entry{}} }
+
+// Revision returns the store's revision up to which the copy is complete, 0
+// before the first list.
+func (r *Replica) Revision() uint64 { return r.revision }
+
+// Reset takes a complete list as of a revision. Objects that the list lacks
+// count as removed unless they changed later. It reports whether anything
+// changed.
+func (r *Replica) Reset(list []Entry, revision uint64) bool {
+	listed := make(map[string]bool, len(list))
+	changed := false
+	for _, e := range list {
+		listed[e.Name] = true
+		e.Seen = max(revision, e.Revision)
+		changed = r.merge(e) || changed
+	}
+	for name, e := range r.entries {
+		if !listed[name] && !e.Removed && e.Revision <= revision {
+			r.entries[name] = Entry{Name: name, Revision: e.Revision, Seen: revision, Removed: true}
+			changed = true
+		}
+	}
+	r.revision = max(r.revision, revision)
+	return changed
+}
+
+// Apply takes the entries that changed up to a revision and reports whether
+// anything changed.
+func (r *Replica) Apply(entries []Entry, revision uint64) bool {
+	changed := false
+	for _, e := range entries {
+		e.Seen = max(e.Seen, revision, e.Revision)
+		changed = r.merge(e) || changed
+	}
+	r.revision = max(r.revision, revision)
+	return changed
+}
+
+// merge takes one entry if it is newer. A removal is newer than the object's
+// last change; a new object of the same name has a higher revision.
+func (r *Replica) merge(e Entry) bool {
+	old, ok := r.entries[e.Name]
+	if ok && (e.Revision < old.Revision || e.Revision == old.Revision && (old.Removed || !e.Removed)) {
+		return false
+	}
+	if !ok && e.Removed {
+		r.entries[e.Name] = e
+		return false
+	}
+	r.entries[e.Name] = e
+	return true
+}
+
+// Since returns the entries that a copy complete up to a revision may lack, by
+// name.
+func (r *Replica) Since(revision uint64) []Entry {
+	var out []Entry
+	for _, e := range r.entries {
+		if e.Seen > revision {
+			out = append(out, e)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Entries returns the objects that exist, by name.
+func (r *Replica) Entries() []Entry {
+	out := make([]Entry, 0, len(r.entries))
+	for _, e := range r.entries {
+		if !e.Removed {
+			out = append(out, e)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Forget drops removals that were seen before a revision. Copies older than
+// that revision must be brought up to date with a complete list.
+func (r *Replica) Forget(revision uint64) {
+	for name, e := range r.entries {
+		if e.Removed && e.Seen < revision {
+			delete(r.entries, name)
+		}
+	}
+}
--- /dev/null
+++ b/decision/replica/replica_test.go
@@ -0,0 +1,55 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A copy that is fed by a peer must not bring back a removed endpoint or lose a
+// re-created one, whatever the order in which the news arrives.
+func TestCopiesConvergeInAnyOrder(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		copies := []*Replica{New(), New(), New()}
+		live := map[string]uint64{}
+		var log []Entry
+		for revision := uint64(1); revision <= 60; revision++ {
+			name := fmt.Sprintf("e%d", rng.IntN(5))
+			if at, ok := live[name]; ok && rng.IntN(2) == 0 {
+				delete(live, name)
+				log = append(log, Entry{Name: name, Revision: at, Seen: revision, Removed: true})
+			} else {
+				live[name] = revision
+				log = append(log, Entry{Name: name, Revision: revision, Seen: revision, Spec: []byte{byte(revision)}})
+			}
+			c := copies[rng.IntN(2)]
+			if rng.IntN(3) == 0 {
+				c.Apply(log[c.Revision():], revision)
+			}
+			from, to := copies[rng.IntN(3)], copies[rng.IntN(3)]
+			to.Apply(from.Since(to.Revision()), from.Revision())
+		}
+		copies[0].Apply(log[copies[0].Revision():], 60)
+		for _, c := range copies {
+			c.Apply(copies[0].Since(c.Revision()), copies[0].Revision())
+			got := map[string]uint64{}
+			for _, e := range c.Entries() {
+				got[e.Name] = e.Revision
+			}
+			assert.DeepEqual(t, got, live)
+		}
+	}
+}
+
+// After a compacted history the complete list must remove what it lacks.
+func TestResetRemovesWhatTheListLacks(t *testing.T) {
+	r := New()
+	r.Reset([]Entry{{Name: "a", Revision: 3}, {Name: "b", Revision: 4}}, 5)
+	assert.Assert(t, r.Reset([]Entry{{Name: "b", Revision: 4}}, 9))
+	assert.Equal(t, len(r.Entries()), 1)
+	assert.Assert(t, !r.Apply([]Entry{{Name: "a", Revision: 3}}, 9), "an old state must not bring a removed object back")
+	assert.Assert(t, r.Apply([]Entry{{Name: "a", Revision: 11}}, 11))
+}
--- /dev/null
+++ b/decision/selection/endpoint.go
@@ -0,0 +1,198 @@
+package selection
+
+import (
+	"time"
+
+	"github.com/arbutusline/arbutusline/fleet"
+)
+
+const (
+	// failureWeight is the weight of the newest outcome in the failure rate.
+	failureWeight = 0.2
+	// suspendFirst and suspendMost bound the time for which an endpoint that
+	// failed gets no requests; it doubles with each failure in a row.
+	suspendFirst = 400 * time.Millisecond
+	suspendMost  = 4 * time.Second
+	// suspendAfter is the number of failures in a row that suspend an endpoint.
+	suspendAfter = 2
+	// maxSwap is the longest time for which an announced change of weights
+	// keeps requests away.
+	maxSwap = 6 * time.Second
+	// queueShare is the part of an endpoint's slots that may wait beyond them.
+	queueShare = 2
+	// refusedPause is how long an endpoint that refused a request gets no other
+	// one; a queue moves on within some steps.
+	refusedPause = 100 * time.Millisecond
+)
+
+// endpointState is what a router observes of an endpoint.
+type endpointState struct {
+	// running and unread are the requests and unread prompt tokens that this
+	// router has there; the remote ones are those of other routers.
+	running, unread             int
+	remoteRunning, remoteUnread int
+	// failure is the weighted share of failed requests.
+	failure     float64
+	inRow       int
+	suspensions int
+	until       time.Duration
+	trial       bool
+	swapUntil   time.Duration
+	busyUntil   time.Duration
+}
+
+func (s *Selector) endpoint(id string) *endpointState {
+	st := s.state[id]
+	if st == nil {
+		st = &endpointState{}
+		s.state[id] = st
+	}
+	return st
+}
+
+func (st *endpointState) swapping(now time.Duration) bool { return now < st.swapUntil }
+
+// admits reports whether an endpoint that failed may be used: after its
+// suspension one request at a time tries it, for some seconds only one that may
+// be repeated.
+func (st *endpointState) admits(now time.Duration, repeatable bool) bool {
+	if st.suspensions == 0 {
+		return true
+	}
+	return now >= st.until && !st.trial && (repeatable || now >= st.until+suspendMost)
+}
+
+func (st *endpointState) full(e *fleet.Endpoint) bool {
+	return st.running+st.remoteRunning >= e.Slots*queueShare
+}
+
+// Started records that a request was sent to the chosen endpoint.
+func (s *Selector) Started(now time.Duration, r *Request, c Choice) {
+	st := s.endpoint(c.Endpoint.ID)
+	st.running++
+	if st.suspensions > 0 {
+		st.trial = true
+	}
+	if r.Prompt == nil {
+		return
+	}
+	st.unread += r.Prompt.InputTokens - c.CachedTokens
+	for _, key := range partChain(r.Namespace, r.Prompt) {
+		s.parts.used(key, c.Endpoint.ID, c.Weights, now)
+	}
+}
+
+// FirstEvent records that the prompt of a request was read, or that the request
+// ended before.
+func (s *Selector) FirstEvent(r *Request, c Choice) {
+	if r.Prompt != nil {
+		st := s.endpoint(c.Endpoint.ID)
+		st.unread = max(0, st.unread-(r.Prompt.InputTokens-c.CachedTokens))
+	}
+}
+
+// Outcome is how a request at an endpoint ended.
+type Outcome int
+
+// Outcomes of a request at an endpoint.
+const (
+	// Good is a usable answer.
+	Good Outcome = iota
+	// Neutral says nothing of the endpoint's health, such as a caller that
+	// left.
+	Neutral
+	// Refused means that the endpoint did not run the request for its load or
+	// for a change of weights.
+	Refused
+	// Failed is an error answer or a broken one.
+	Failed
+	// Dead means that the endpoint could not be reached or did not answer.
+	Dead
+)
+
+// Ended records the end of a request, after FirstEvent.
+func (s *Selector) Ended(now time.Duration, c Choice, o Outcome) {
+	st := s.endpoint(c.Endpoint.ID)
+	st.running = max(0, st.running-1)
+	switch o {
+	case Good:
+		st.failure *= 1 - failureWeight
+		st.inRow, st.suspensions, st.trial = 0, 0, false
+	case Refused:
+		st.busyUntil = now + refusedPause
+	case Failed, Dead:
+		st.failure += (1 - st.failure) * failureWeight
+		st.inRow++
+		if o == Dead || st.inRow >= suspendAfter {
+			st.suspend(now)
+		}
+	}
+	st.trial = false
+}
+
+func (st *endpointState) suspend(now time.Duration) {
+	if now < st.until {
+		return
+	}
+	st.until = now + min(suspendMost, suspendFirst<<min(st.suspensions, 8))
+	st.suspensions++
+}
+
+// Swapping keeps requests away from an endpoint whose weights are about to
+// change, until Swapped or a time limit.
+func (s *Selector) Swapping(now time.Duration, endpoint string) {
+	if st := s.endpoint(endpoint); now >= st.swapUntil {
+		st.swapUntil = now + maxSwap
+	}
+}
+
+// Swapped ends Swapping. The endpoint's cache is empty. Repeated news has no
+// effect.
+func (s *Selector) Swapped(endpoint string) {
+	st := s.state[endpoint]
+	if st == nil || st.swapUntil == 0 {
+		return
+	}
+	st.swapUntil = 0
+	s.parts.drop(endpoint)
+}
+
+// Load is the work that a router has at an endpoint.
+type Load struct {
+	Endpoint string
+	Running  int
+	Unread   int
+}
+
+// Loads returns this router's own work by endpoint.
+func (s *Selector) Loads() []Load {
+	var out []Load
+	for id, st := range s.state {
+		if st.running > 0 {
+			out = append(out, Load{id, st.running, st.unread})
+		}
+	}
+	return out
+}
+
+// RemoteLoads replaces the work of all other routers.
+func (s *Selector) RemoteLoads(loads []Load) {
+	for _, st := range s.state {
+		st.remoteRunning, st.remoteUnread = 0, 0
+	}
+	for _, l := range loads {
+		st := s.endpoint(l.Endpoint)
+		st.remoteRunning += l.Running
+		st.remoteUnread += l.Unread
+	}
+}
+
+// Keep forgets endpoints that are not in the view and have no running request.
+func (s *Selector) Keep(v *fleet.View) {
+	for id, st := range s.state {
+		if v.ByID[id] == nil && st.running == 0 {
+			delete(s.state, id)
+			s.parts.drop(id)
+		}
+	}
+}
--- /dev/null
+++ b/decision/selection/parts.go
@@ -0,0 +1,121 @@
+package selection
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/arbutusline/arbutusline/fleet"
+)
+
+// homeSpread is the most that the rendezvous order adds to a cost. It lets all
+// routers start an unknown part at the same endpoint.
+const homeSpread = 40 * time.Millisecond
+
+// holdersPerPart is the number of endpoints that are remembered for a part.
+const holdersPerPart = 4
+
+// partChain returns a key for each shared part that covers the parts before it.
+func partChain(namespace string, p *fleet.Prompt) []uint64 {
+	n := max(0, len(p.Parts)-1)
+	out := make([]uint64, 0, n)
+	h := xxhash.Sum64String(namespace + "\x00" + p.Model)
+	for _, part := range p.Parts[:n] {
+		h = mix(h ^ mix(part.ID))
+		out = append(out, h)
+	}
+	return out
+}
+
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// homeDistance is 0 for the endpoint that comes first in the rendezvous order
+// of the last shared part and grows to homeSpread for the last one.
+func homeDistance(chain []uint64, endpoint string) time.Duration {
+	if len(chain) == 0 {
+		return 0
+	}
+	h := mix(chain[len(chain)-1] ^ xxhash.Sum64String(endpoint))
+	return time.Duration(float64(h>>11) / (1 << 53) * float64(homeSpread))
+}
+
+type holder struct {
+	endpoint string
+	weights  uint64
+	used     time.Duration
+}
+
+type partTable struct {
+	max     int
+	holders map[uint64][]holder
+}
+
+func newPartTable(limit int) partTable {
+	return partTable{max: limit, holders: map[uint64][]holder{}}
+}
+
+func (t *partTable) holds(key uint64, endpoint string, weights uint64, since time.Duration) bool {
+	for _, h := range t.holders[key] {
+		if h.endpoint == endpoint && h.weights == weights && h.used >= since {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *partTable) used(key uint64, endpoint string, weights uint64, now time.Duration) {
+	list := t.holders[key]
+	oldest := 0
+	for i, h := range list {
+		if h.endpoint == endpoint {
+			list[i].weights, list[i].used = weights, now
+			return
+		}
+		if h.used < list[oldest].used {
+			oldest = i
+		}
+	}
+	h := holder{endpoint, weights, now}
+	if len(list) >= holdersPerPart {
+		list[oldest] = h
+		return
+	}
+	if len(list) == 0 && len(t.holders) >= t.max {
+		t.evict(now)
+	}
+	t.holders[key] = append(list, h)
+}
+
+// evict drops an arbitrary tenth of the table; entries in use come back with
+// their next request.
+func (t *partTable) evict(time.Duration) {
+	n := max(1, t.max/10)
+	for key := range t.holders {
+		if n--; n < 0 {
+			return
+		}
+		delete(t.holders, key)
+	}
+}
+
+func (t *partTable) drop(endpoint string) {
+	for key, list := range t.holders {
+		kept := list[:0]
+		for _, h := range list {
+			if h.endpoint != endpoint {
+				kept = append(kept, h)
+			}
+		}
+		if len(kept) == 0 {
+			delete(t.holders, key)
+		} else {
+			t.holders[key] = kept
+		}
+	}
+}
--- /dev/null
+++ b/decision/selection/selection.go
@@ -0,0 +1,184 @@
+// Package selection chooses the endpoint for a request when the router talks to
+// endpoints itself. The choice weighs, in milliseconds, the work that an
+// endpoint has queued against the prompt parts that it would have to read again.
+// It is a pure state machine and not safe for concurrent use.
+package selection
+
+import (
+	"time"
+
+	"github.com/arbutusline/arbutusline/fleet"
+)
+
+// Config holds the weights of the choice.
+type Config struct {
+	// PrefillTokensPerMs is the reading rate of an engine.
+	PrefillTokensPerMs float64
+	// RereadFactor multiplies the cost of reading shared parts again, because
+	// that work also delays the requests behind.
+	RereadFactor float64
+	// RunCost is what one running request adds to the time of another.
+	RunCost time.Duration
+	// ZoneCost is the price of leaving the availability zone.
+	ZoneCost time.Duration
+	// OldWeightsCost is the price of an endpoint that lacks the newest weights.
+	OldWeightsCost time.Duration
+	// OldWeightsGrace is how long after their naming new weights have no
+	// preference.
+	OldWeightsGrace time.Duration
+	// FailureCost is the price of an endpoint all of whose requests fail.
+	FailureCost time.Duration
+	// ServiceTime is the assumed time of one request at a plain service.
+	ServiceTime time.Duration
+	// PartLife is how long a part counts as cached after its last use.
+	PartLife time.Duration
+	// MaxParts bounds the number of parts that are remembered.
+	MaxParts int
+}
+
+// Request is what the choice needs to know of a request.
+type Request struct {
+	Service string
+	// Prompt is nil for plain requests.
+	Prompt *fleet.Prompt
+	// Namespace is the team's share of the cache's namespace, empty for teams
+	// that share parts.
+	Namespace string
+	// Exclude are endpoints that must not be chosen.
+	Exclude []string
+	// Repeatable requests may test an endpoint that failed before.
+	Repeatable bool
+}
+
+// Choice is the outcome of Select.
+type Choice struct {
+	Endpoint *fleet.Endpoint
+	// Weights is the version that the endpoint is believed to serve.
+	Weights uint64
+	// Cost is the estimate behind the choice.
+	Cost time.Duration
+	// CachedTokens is the part of the prompt believed to be cached there.
+	CachedTokens int
+	// FetchFrom is the address of another endpoint that holds more of the
+	// prompt's shared parts, empty when there is none.
+	FetchFrom string
+}
+
+// Selector holds what the router knows of endpoints beyond their entries.
+type Selector struct {
+	cfg   Config
+	zone  string
+	state map[string]*endpointState
+	parts partTable
+}
+
+// New returns a Selector of a router in the availability zone.
+func New(cfg Config, zone string) *Selector {
+	return &Selector{cfg: cfg, zone: zone, state: map[string]*endpointState{}, parts: newPartTable(cfg.MaxParts)}
+}
+
+// Select chooses an endpoint of the request's service, or returns false when
+// none may take it. Now is a time since an arbitrary origin, wall the time that
+// View.Named refers to.
+func (s *Selector) Select(now time.Duration, wall time.Time, v *fleet.View, r *Request) (Choice, bool) {
+	var best Choice
+	found := false
+	var chain []uint64
+	if r.Prompt != nil {
+		chain = partChain(r.Namespace, r.Prompt)
+	}
+	for _, e := range v.ByService[r.Service] {
+		if e.State != fleet.Ready || contains(r.Exclude, e.ID) {
+			continue
+		}
+		st := s.endpoint(e.ID)
+		if st.swapping(now) || now < st.busyUntil || !st.admits(now, r.Repeatable) || st.full(e) {
+			continue
+		}
+		c := s.cost(now, wall, v, r, chain, e, st)
+		if !found || c.Cost < best.Cost {
+			best, found = c, true
+		}
+	}
+	if !found {
+		return Choice{}, false
+	}
+	if r.Prompt != nil {
+		best.FetchFrom = s.source(now, v, r, chain, best)
+	}
+	return best, true
+}
+
+func (s *Selector) cost(now time.Duration, wall time.Time, v *fleet.View, r *Request, chain []uint64, e *fleet.Endpoint, st *endpointState) Choice {
+	c := Choice{Endpoint: e}
+	cost := time.Duration(st.failure * float64(s.cfg.FailureCost))
+	if e.Zone != s.zone {
+		cost += s.cfg.ZoneCost
+	}
+	if r.Prompt == nil {
+		c.Cost = cost + s.cfg.ServiceTime*time.Duration(st.running+st.remoteRunning)/time.Duration(e.Slots)
+		return c
+	}
+	model := r.Prompt.Model
+	c.Weights = e.Weights[model]
+	if named := v.Weights[model]; c.Weights < named && wall.Sub(v.Named[model]) > s.cfg.OldWeightsGrace {
+		cost += s.cfg.OldWeightsCost
+	}
+	c.CachedTokens = s.cached(now, chain, r.Prompt, e.ID, c.Weights)
+	own := r.Prompt.InputTokens - r.Prompt.SharedTokens()
+	missing := r.Prompt.SharedTokens() - c.CachedTokens
+	cost += s.reading(float64(own) + float64(missing)*s.cfg.RereadFactor)
+	cost += s.reading(float64(st.unread + st.remoteUnread))
+	cost += s.cfg.RunCost * time.Duration(st.running+st.remoteRunning)
+	cost += homeDistance(chain, e.ID)
+	c.Cost = cost
+	return c
+}
+
+func (s *Selector) reading(tokens float64) time.Duration {
+	return time.Duration(tokens / s.cfg.PrefillTokensPerMs * float64(time.Millisecond))
+}
+
+// cached returns the tokens of the leading shared parts that the endpoint is
+// believed to hold under the weights version.
+func (s *Selector) cached(now time.Duration, chain []uint64, p *fleet.Prompt, endpoint string, weights uint64) int {
+	n := 0
+	for i, key := range chain {
+		if !s.parts.holds(key, endpoint, weights, now-s.cfg.PartLife) {
+			break
+		}
+		n += p.Parts[i].Tokens
+	}
+	return n
+}
+
+// source returns the address of the endpoint that holds the most shared tokens
+// beyond those of the choice, under the same weights.
+func (s *Selector) source(now time.Duration, v *fleet.View, r *Request, chain []uint64, c Choice) string {
+	best, address := c.CachedTokens+minFetchTokens, ""
+	for _, e := range v.ByService[r.Service] {
+		if e.ID == c.Endpoint.ID || e.Zone != c.Endpoint.Zone || e.Weights[r.Prompt.Model] != c.Weights {
+			continue
+		}
+		if st := s.endpoint(e.ID); st.swapping(now) || st.failure > 0 {
+			continue
+		}
+		if n := s.cached(now, chain, r.Prompt, e.ID, c.Weights); n >= best {
+			best, address = n+1, e.Address
+		}
+	}
+	return address
+}
+
+// minFetchTokens is the least gain for which parts are fetched: below it the
+// set-up of a transfer takes longer than reading the tokens.
+const minFetchTokens = 512
+
+func contains(list []string, id string) bool {
+	for _, x := range list {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
--- a/modules/admin/admin.go
+++ b/modules/admin/admin.go
@@ -34,6 +34,9 @@
 type Admin struct {
 	// Listen is the address of the server. Default "127.0.0.1:0".
 	Listen string `json:"listen"`
+	// MetricsListen is another address that serves the same, for deployments
+	// where the address of readiness is not reachable for metrics. Default: none.
+	MetricsListen string `json:"metrics_listen"`
 
 	log      *logrus.Entry
 	registry *prometheus.Registry
@@ -70,15 +73,27 @@
 
 // Start opens the listener and serves.
 func (a *Admin) Start(context.Context) error {
-	listener, err := net.Listen("tcp", a.Listen)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(a.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", a.ready)
 	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	for _, address := range []string{a.Listen, a.MetricsListen} {
+		if address == "" {
+			continue
+		}
+		if err := a.serve(address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *Admin) serve(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
 	a.log.WithField("address", listener.Addr().String()).Info("serving metrics and health")
 	go func() {
 		if err := a.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- /dev/null
+++ b/modules/directory/directory.go
@@ -0,0 +1,328 @@
+// Package directory is the module "directory": what a router knows of the
+// deployment. It watches the platform's store, takes the news of other routers
+// where the store does not answer, and publishes a fleet.View.
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/decision/replica"
+	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/modules/admin"
+	"github.com/arbutusline/arbutusline/modules/node"
+	"github.com/arbutusline/arbutusline/platform"
+	"github.com/arbutusline/arbutusline/settings"
+)
+
+// Name is the name of the module.
+const Name = "directory"
+
+// KindRouters is the kind of the objects by which routers find each other.
+const KindRouters = "arbutus-routers"
+
+const (
+	// retryFirst and retryMost bound the wait after a failed call. Each call
+	// is priced, and the other routers have the news meanwhile.
+	retryFirst = 150 * time.Millisecond
+	retryMost  = 1500 * time.Millisecond
+	// batchEndpoints lets several changes of endpoints come in one answer.
+	batchEndpoints = 150 * time.Millisecond
+	// returnGrace is how long an endpoint stays in use whose entry lapsed while
+	// the store was away; live endpoints are back within about 2 s.
+	returnGrace = 2300 * time.Millisecond
+	// tombstones is the number of revisions for which removals are kept.
+	tombstones = 20000
+)
+
+var kinds = []string{platform.KindConfiguration, platform.KindEndpoints, platform.KindWeights, KindRouters}
+
+func init() {
+	arbutusline.Register(func() arbutusline.Module {
+		return &Directory{WatchWait: settings.Duration(10 * time.Second)}
+	})
+}
+
+// Directory keeps the copies of the store's objects.
+type Directory struct {
+	// Store is the address of the platform's store. Required.
+	Store string `json:"store"`
+	// Advertise is the address under which other routers reach this one.
+	// Required.
+	Advertise string `json:"advertise"`
+	// WatchWait is how long one watch waits. Default 10s: a connection that
+	// went silent is found by then, and other routers have the news before.
+	WatchWait settings.Duration `json:"watch_wait"`
+
+	log    *logrus.Entry
+	node   *node.Node
+	store  *platform.Store
+	view   atomic.Pointer[fleet.View]
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu       sync.Mutex
+	copies   map[string]*replica.Replica
+	config   *fleet.Configuration
+	named    map[string]time.Time
+	learned  map[string]map[string]uint64
+	leaving  map[string]leaving
+	decoded  map[string]decoded
+	badSeen  map[string]uint64
+	outage   bool
+	returned time.Time
+	watchers []func(*fleet.View)
+
+	calls  *prometheus.CounterVec
+	times  *prometheus.HistogramVec
+	merges *prometheus.CounterVec
+}
+
+// leaving is an endpoint whose entry lapsed while the store was away.
+type leaving struct {
+	endpoint *fleet.Endpoint
+	until    time.Time
+}
+
+type decoded struct {
+	revision uint64
+	endpoint *fleet.Endpoint
+}
+
+// ModuleName returns "directory".
+func (d *Directory) ModuleName() string { return Name }
+
+// Provision creates the store's client.
+func (d *Directory) Provision(k *arbutusline.Kernel) error {
+	d.log = k.Log.WithField("module", Name)
+	var err error
+	if d.node, err = arbutusline.Lookup[*node.Node](k, node.Name); err != nil {
+		return err
+	}
+	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
+	if err != nil {
+		return err
+	}
+	d.copies = map[string]*replica.Replica{}
+	for _, kind := range kinds {
+		d.copies[kind] = replica.New()
+	}
+	d.named, d.learned = map[string]time.Time{}, map[string]map[string]uint64{}
+	d.leaving, d.decoded, d.badSeen = map[string]leaving{}, map[string]decoded{}, map[string]uint64{}
+	d.view.Store(&fleet.View{})
+	d.store = platform.NewStore(d.Store)
+	d.store.Observe = d.observe
+	d.metrics(a)
+	a.AddReadiness(Name, d.ready)
+	return nil
+}
+
+func (d *Directory) metrics(a *admin.Admin) {
+	d.calls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_store_calls_total", Help: "Calls to the platform's store by call and result.",
+	}, []string{"call", "result"})
+	d.times = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "arbutus_store_call_seconds", Help: "Time of calls to the platform's store, without watches.",
+		Buckets: prometheus.ExponentialBuckets(0.002, 3, 7),
+	}, []string{"call"})
+	d.merges = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_directory_changes_total", Help: "Changes taken by kind and source.",
+	}, []string{"kind", "source"})
+	a.Registry().MustRegister(d.calls, d.times, d.merges)
+}
+
+// Validate checks that the required settings are present.
+func (d *Directory) Validate() error {
+	if d.Store == "" || d.Advertise == "" {
+		return errors.New("store and advertise are required")
+	}
+	if d.WatchWait <= 0 {
+		return errors.New("watch_wait must be positive")
+	}
+	return nil
+}
+
+// PlatformStore returns the client of the store.
+func (d *Directory) PlatformStore() *platform.Store { return d.store }
+
+// View returns what is known now. The result is never nil and not changed later.
+func (d *Directory) View() *fleet.View { return d.view.Load() }
+
+// Watch calls f with each new view, one at a time. It is called before Start.
+func (d *Directory) Watch(f func(*fleet.View)) { d.watchers = append(d.watchers, f) }
+
+func (d *Directory) ready() error {
+	v := d.View()
+	if v.Config == nil {
+		return errors.New("no configuration is known")
+	}
+	if len(v.ByID) == 0 {
+		return errors.New("no endpoint is known")
+	}
+	return nil
+}
+
+// Start begins to watch the store.
+func (d *Directory) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	for _, kind := range kinds {
+		d.done.Go(func() { d.follow(ctx, kind) })
+	}
+	d.done.Go(func() { d.register(ctx) })
+	d.done.Go(func() { d.expire(ctx) })
+	return nil
+}
+
+// Stop ends the watches.
+func (d *Directory) Stop(context.Context) error {
+	if d.cancel != nil {
+		d.cancel()
+	}
+	d.done.Wait()
+	return nil
+}
+
+// register writes the object by which other routers find this one. The write
+// has no condition: only this router writes its object.
+func (d *Directory) register(ctx context.Context) {
+	spec := Router{Address: d.Advertise, Zone: d.node.Zone, Incarnation: d.node.Incarnation()}
+	for wait := retryFirst; ctx.Err() == nil; wait = min(2*wait, retryMost) {
+		_, err := d.store.Create(ctx, KindRouters, d.node.ID, spec)
+		if errors.Is(err, platform.ErrConflict) {
+			_, err = d.store.Replace(ctx, KindRouters, d.node.ID, 0, spec)
+		}
+		if err == nil {
+			d.log.Info("router registered")
+			return
+		}
+		d.log.WithError(err).Warn("router not registered")
+		pause(ctx, wait)
+	}
+}
+
+// follow keeps one kind up to date until ctx ends.
+func (d *Directory) follow(ctx context.Context, kind string) {
+	wait := retryFirst
+	for ctx.Err() == nil {
+		revision, err := d.list(ctx, kind)
+		for err == nil && ctx.Err() == nil {
+			wait = retryFirst
+			revision, err = d.watch(ctx, kind, revision)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, platform.ErrCompacted) {
+			d.log.WithField("kind", kind).Info("history is gone, listing again")
+			continue
+		}
+		d.lost(kind, err)
+		pause(ctx, wait)
+		wait = min(2*wait, retryMost)
+	}
+}
+
+func (d *Directory) list(ctx context.Context, kind string) (uint64, error) {
+	objects, revision, err := d.store.List(ctx, kind)
+	if err != nil {
+		return 0, err
+	}
+	d.regained(kind)
+	entries := make([]replica.Entry, 0, len(objects))
+	for _, o := range objects {
+		entries = append(entries, replica.Entry{Name: o.Metadata.Name, Revision: o.Metadata.Revision, Spec: o.Spec, Removed: o.Metadata.Deleting})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.copies[kind].Reset(entries, revision) {
+		d.changed(kind, "list")
+	}
+	return revision, nil
+}
+
+func (d *Directory) watch(ctx context.Context, kind string, since uint64) (uint64, error) {
+	if kind == platform.KindEndpoints {
+		pause(ctx, batchEndpoints)
+	}
+	changes, revision, err := d.store.Watch(ctx, kind, since, d.WatchWait.D())
+	if err != nil {
+		return since, err
+	}
+	entries := make([]replica.Entry, 0, len(changes))
+	for _, c := range changes {
+		entries = append(entries, replica.Entry{
+			Name: c.Object.Metadata.Name, Revision: c.Object.Metadata.Revision, Spec: c.Object.Spec,
+			Removed: c.Removed || c.Object.Metadata.Deleting,
+		})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.copies[kind].Apply(entries, revision) {
+		d.changed(kind, "watch")
+	}
+	return revision, nil
+}
+
+func (d *Directory) lost(kind string, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.outage {
+		d.log.WithError(err).WithField("kind", kind).Warn("store lost")
+	}
+	d.outage = true
+}
+
+func (d *Directory) regained(kind string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.outage {
+		d.outage, d.returned = false, time.Now()
+		d.log.WithField("kind", kind).Info("store regained")
+	}
+}
+
+func (d *Directory) observe(call string, took time.Duration, err error) {
+	d.calls.WithLabelValues(call, resultOf(err)).Inc()
+	if call != "watch" {
+		d.times.WithLabelValues(call).Observe(took.Seconds())
+	}
+}
+
+func resultOf(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, platform.ErrRateLimited):
+		return "rate_limited"
+	case errors.Is(err, platform.ErrUnavailable):
+		return "unavailable"
+	case errors.Is(err, platform.ErrConflict):
+		return "conflict"
+	case errors.Is(err, platform.ErrNotFound):
+		return "not_found"
+	case errors.Is(err, platform.ErrCompacted):
+		return "compacted"
+	case errors.Is(err, platform.ErrAmbiguous):
+		return "no_answer"
+	}
+	return "error"
+}
+
+// pause waits for about d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d*3/4 + rand.N(d/2))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/modules/directory/view.go
@@ -0,0 +1,275 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/arbutusline/arbutusline/decision/replica"
+	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/platform"
+)
+
+// expireEvery is the period at which endpoints past their grace are dropped.
+const expireEvery = 200 * time.Millisecond
+
+// Router is the content of a router's object.
+type Router struct {
+	Address     string `json:"address"`
+	Zone        string `json:"zone"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// changed rebuilds the view. The caller holds mu.
+func (d *Directory) changed(kind, source string) {
+	d.merges.WithLabelValues(kind, source).Inc()
+	c := d.copies[kind]
+	if c.Revision() > tombstones {
+		c.Forget(c.Revision() - tombstones)
+	}
+	switch kind {
+	case platform.KindConfiguration:
+		d.takeConfiguration(source)
+	case platform.KindEndpoints, platform.KindWeights:
+	default:
+		return
+	}
+	d.publish()
+}
+
+// takeConfiguration decodes the configuration object. An older version than
+// the one in force or one that does not decode leaves the one in force.
+func (d *Directory) takeConfiguration(source string) {
+	for _, e := range d.copies[platform.KindConfiguration].Entries() {
+		if e.Name != platform.ConfigurationName {
+			continue
+		}
+		c, err := platform.DecodeConfiguration(e.Spec)
+		log := d.log.WithFields(logrus.Fields{"source": source, "revision": e.Revision})
+		if err != nil {
+			log.WithError(err).Error("configuration not usable")
+			return
+		}
+		if d.config != nil && c.Version <= d.config.Version {
+			return
+		}
+		d.config = c
+		log.WithField("version", c.Version).Info("configuration in force")
+	}
+}
+
+func (d *Directory) publish() {
+	v := &fleet.View{
+		Config: d.config, ByService: map[string][]*fleet.Endpoint{}, ByID: map[string]*fleet.Endpoint{},
+		Weights: d.namedWeights(), Named: map[string]time.Time{},
+	}
+	for model, at := range d.named {
+		v.Named[model] = at
+	}
+	for _, e := range d.copies[platform.KindEndpoints].Entries() {
+		if endpoint := d.decodeEndpoint(e); endpoint != nil {
+			v.ByID[endpoint.ID] = endpoint
+		}
+	}
+	d.keepLapsed(v)
+	for _, e := range v.ByID {
+		v.ByService[e.Service] = append(v.ByService[e.Service], e)
+	}
+	d.logEndpoints(d.view.Load(), v)
+	d.view.Store(v)
+	for _, f := range d.watchers {
+		f(v)
+	}
+}
+
+func (d *Directory) namedWeights() map[string]uint64 {
+	out := map[string]uint64{}
+	old := d.view.Load().Weights
+	for model, version := range old {
+		out[model] = version
+	}
+	for _, e := range d.copies[platform.KindWeights].Entries() {
+		model, version, err := platform.DecodeWeights(e.Spec)
+		if err != nil {
+			d.reportBad(e, err)
+			continue
+		}
+		if version > out[model] {
+			out[model] = version
+			d.named[model] = time.Now()
+			d.log.WithFields(logrus.Fields{"model": model, "weights": version}).Info("weights named")
+		}
+	}
+	return out
+}
+
+// decodeEndpoint returns nil for entries that name no endpoint to use.
+func (d *Directory) decodeEndpoint(e replica.Entry) *fleet.Endpoint {
+	known := d.decoded[e.Name]
+	if known.revision != e.Revision || known.endpoint == nil {
+		endpoint, err := platform.DecodeEndpoint(e.Name, e.Spec)
+		if err != nil {
+			d.reportBad(e, err)
+			return nil
+		}
+		known = decoded{e.Revision, endpoint}
+		d.decoded[e.Name] = known
+	}
+	return withLearned(known.endpoint, d.learned[e.Name])
+}
+
+// withLearned adds weights versions that answers showed before the entry did.
+func withLearned(e *fleet.Endpoint, learned map[string]uint64) *fleet.Endpoint {
+	if len(learned) == 0 {
+		return e
+	}
+	merged := *e
+	merged.Weights = map[string]uint64{}
+	for model, version := range e.Weights {
+		merged.Weights[model] = max(version, learned[model])
+	}
+	return &merged
+}
+
+// reportBad logs an entry that cannot be used, once for each of its states.
+func (d *Directory) reportBad(e replica.Entry, err error) {
+	if d.badSeen[e.Name] == e.Revision {
+		return
+	}
+	d.badSeen[e.Name] = e.Revision
+	d.log.WithError(err).WithField("revision", e.Revision).Warn("entry ignored")
+}
+
+// keepLapsed keeps endpoints whose entries were removed just after the store
+// returned: the store may have dropped them while they could not renew them.
+func (d *Directory) keepLapsed(v *fleet.View) {
+	now := time.Now()
+	end := d.returned.Add(returnGrace)
+	for id, e := range d.view.Load().ByID {
+		_, waiting := d.leaving[id]
+		if v.ByID[id] == nil && !waiting && e.State == fleet.Ready && now.Before(end) {
+			d.leaving[id] = leaving{e, end}
+		}
+	}
+	for id, l := range d.leaving {
+		if v.ByID[id] != nil || !now.Before(l.until) || addressTaken(v, l.endpoint) {
+			delete(d.leaving, id)
+			continue
+		}
+		v.ByID[id] = l.endpoint
+	}
+}
+
+func addressTaken(v *fleet.View, e *fleet.Endpoint) bool {
+	for _, other := range v.ByID {
+		if other.Address == e.Address && other.ID != e.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Directory) expire(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, expireEvery)
+		d.mu.Lock()
+		if len(d.leaving) > 0 {
+			d.publish()
+		}
+		d.mu.Unlock()
+	}
+}
+
+func (d *Directory) logEndpoints(old, v *fleet.View) {
+	for id, e := range v.ByID {
+		was := old.ByID[id]
+		if was == nil || was.State != e.State {
+			d.log.WithFields(logrus.Fields{
+				"endpoint": id, "service": e.Service, "address": e.Address, "draining": e.State == fleet.Draining,
+			}).Info("endpoint known")
+		}
+	}
+	for id, e := range old.ByID {
+		if v.ByID[id] == nil {
+			d.log.WithFields(logrus.Fields{"endpoint": id, "service": e.Service, "address": e.Address}).Info("endpoint gone")
+			delete(d.decoded, id)
+			delete(d.learned, id)
+		}
+	}
+}
+
+// LearnWeights records the version that an endpoint's answer or order showed.
+// Versions only rise.
+func (d *Directory) LearnWeights(endpoint, model string, version uint64) {
+	if e := d.View().ByID[endpoint]; e == nil || e.Weights[model] >= version {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.learned[endpoint][model] >= version {
+		return
+	}
+	if d.learned[endpoint] == nil {
+		d.learned[endpoint] = map[string]uint64{}
+	}
+	d.learned[endpoint][model] = version
+	d.publish()
+}
+
+// Position is how far the copy of a kind reaches.
+type Position struct {
+	Kind     string
+	Revision uint64
+}
+
+// Positions returns how far the copies reach.
+func (d *Directory) Positions() []Position {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]Position, 0, len(kinds))
+	for _, kind := range kinds {
+		out = append(out, Position{kind, d.copies[kind].Revision()})
+	}
+	return out
+}
+
+// Since returns the entries of a kind that a copy complete up to a revision may
+// lack, and how far the copy reaches.
+func (d *Directory) Since(kind string, revision uint64) ([]replica.Entry, uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.copies[kind]
+	if c == nil || c.Revision() <= revision {
+		return nil, 0
+	}
+	return c.Since(revision), c.Revision()
+}
+
+// Merge takes entries from another router's copy.
+func (d *Directory) Merge(kind string, entries []replica.Entry, revision uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c := d.copies[kind]; c != nil && c.Apply(entries, revision) {
+		d.changed(kind, "router")
+	}
+}
+
+// Routers returns the other routers that have registered.
+func (d *Directory) Routers() map[string]Router {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[string]Router{}
+	for _, e := range d.copies[KindRouters].Entries() {
+		var r Router
+		if err := json.Unmarshal(e.Spec, &r); err != nil || r.Address == "" {
+			d.reportBad(e, err)
+			continue
+		}
+		if e.Name != d.node.ID {
+			out[e.Name] = r
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/modules/exchange/exchange.go
@@ -0,0 +1,307 @@
+// Package exchange is the module "exchange": routers tell each other what they
+// know. Several times a second a router exchanges its state with a few others,
+// so that a router that the store turns away still learns of configurations,
+// endpoints and weights, and each knows the load that the others cause.
+package exchange
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/api/arbutuspb"
+	"github.com/arbutusline/arbutusline/modules/admin"
+	"github.com/arbutusline/arbutusline/modules/directory"
+	"github.com/arbutusline/arbutusline/modules/grpcserver"
+	"github.com/arbutusline/arbutusline/modules/node"
+	"github.com/arbutusline/arbutusline/modules/relay"
+	"github.com/arbutusline/arbutusline/settings"
+)
+
+// Name is the name of the module.
+const Name = "exchange"
+
+const (
+	// callTimeout is some hundred round trips within a region.
+	callTimeout = 400 * time.Millisecond
+	// redialAfter is the number of calls in a row without an answer after which
+	// a connection is replaced: it may have gone silent.
+	redialAfter = 3
+	// forgetAfter is how long a router that does not answer is tried.
+	forgetAfter = 2 * time.Minute
+	// seedsEvery is the number of rounds between two tries of the seeds.
+	seedsEvery = 20
+	// minConnect and maxBackoff bound the time between two connections.
+	minConnect = 500 * time.Millisecond
+	maxBackoff = time.Second
+	// changeRepeats is the number of rounds that carry a change of weights.
+	changeRepeats = 6
+	// maxStrikes bounds the strikes in one message.
+	maxStrikes = 64
+)
+
+func init() {
+	arbutusline.Register(func() arbutusline.Module {
+		return &Exchange{Interval: settings.Duration(250 * time.Millisecond), Fanout: 3}
+	})
+}
+
+// Exchange spreads state between routers.
+type Exchange struct {
+	arbutuspb.UnimplementedRouterServer `json:"-"`
+
+	// Interval is the time between two rounds. Default 250ms: news reaches some
+	// hundred routers within about a second and a half.
+	Interval settings.Duration `json:"interval"`
+	// Fanout is the number of routers called in each round. Default 3.
+	Fanout int `json:"fanout"`
+	// Seeds are addresses of routers that may be known before the store answers.
+	Seeds []string `json:"seeds"`
+
+	log       *logrus.Entry
+	node      *node.Node
+	directory *directory.Directory
+	relay     *relay.Relay
+	self      string
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
+	nudge     chan struct{}
+
+	mu      sync.Mutex
+	peers   map[string]*peer
+	changes []*change
+	round   int
+
+	calls *prometheus.CounterVec
+}
+
+// peer is another router, by address.
+type peer struct {
+	address string
+	conn    *grpc.ClientConn
+	misses  int
+	heard   time.Time
+	busy    bool
+	lost    bool
+}
+
+type change struct {
+	news  *arbutuspb.WeightsChange
+	sends int
+}
+
+// ModuleName returns "exchange".
+func (x *Exchange) ModuleName() string { return Name }
+
+// Provision registers the service.
+func (x *Exchange) Provision(k *arbutusline.Kernel) error {
+	x.log = k.Log.WithField("module", Name)
+	x.peers, x.nudge = map[string]*peer{}, make(chan struct{}, 1)
+	server, err := arbutusline.Lookup[*grpcserver.Server](k, grpcserver.Name)
+	if err != nil {
+		return err
+	}
+	x.self = server.Address()
+	arbutuspb.RegisterRouterServer(server.Registrar(), x)
+	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
+	if err != nil {
+		return err
+	}
+	x.calls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_exchange_calls_total", Help: "Exchanges with other routers by result.",
+	}, []string{"result"})
+	a.Registry().MustRegister(x.calls)
+	if x.node, err = arbutusline.Lookup[*node.Node](k, node.Name); err != nil {
+		return err
+	}
+	if x.directory, err = arbutusline.Lookup[*directory.Directory](k, directory.Name); err != nil {
+		return err
+	}
+	x.relay, err = arbutusline.Lookup[*relay.Relay](k, relay.Name)
+	return err
+}
+
+// Validate checks the settings.
+func (x *Exchange) Validate() error {
+	if x.Interval <= 0 || x.Fanout < 1 {
+		return errors.New("interval and fanout must be positive")
+	}
+	return nil
+}
+
+// Start begins the rounds.
+func (x *Exchange) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	x.cancel = cancel
+	x.done.Go(func() { x.rounds(ctx) })
+	return nil
+}
+
+// Stop ends the rounds and closes the connections.
+func (x *Exchange) Stop(context.Context) error {
+	if x.cancel != nil {
+		x.cancel()
+	}
+	x.done.Wait()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, p := range x.peers {
+		p.close()
+	}
+	return nil
+}
+
+func (x *Exchange) rounds(ctx context.Context) {
+	ticker := time.NewTicker(x.Interval.D())
+	defer ticker.Stop()
+	for {
+		all := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-x.nudge:
+			all = true
+		}
+		for _, p := range x.choose(all) {
+			x.done.Go(func() { x.call(ctx, p) })
+		}
+	}
+}
+
+// Announce tells all routers at once that an endpoint is about to change its
+// weights, or has done so.
+func (x *Exchange) Announce(endpoint, model string, version uint64, done bool) {
+	news := &arbutuspb.WeightsChange{Endpoint: endpoint, Model: model, Version: version, Done: done}
+	x.mu.Lock()
+	kept := x.changes[:0]
+	for _, c := range x.changes {
+		if c.news.Endpoint != endpoint {
+			kept = append(kept, c)
+		}
+	}
+	x.changes = append(kept, &change{news, changeRepeats})
+	x.mu.Unlock()
+	x.take(news)
+	select {
+	case x.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// choose returns the routers to call in this round.
+func (x *Exchange) choose(all bool) []*peer {
+	routers := x.directory.Routers()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.round++
+	known := map[string]bool{}
+	for _, r := range routers {
+		known[r.Address] = true
+		x.peer(r.Address)
+	}
+	if x.round%seedsEvery == 1 {
+		for _, address := range x.Seeds {
+			x.peer(address)
+		}
+	}
+	var ready []*peer
+	for address, p := range x.peers {
+		if time.Since(p.heard) > forgetAfter && !known[address] {
+			p.close()
+			delete(x.peers, address)
+			continue
+		}
+		if !p.busy {
+			ready = append(ready, p)
+		}
+	}
+	rand.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
+	if !all {
+		ready = ready[:min(len(ready), x.Fanout)]
+	}
+	for _, p := range ready {
+		p.busy = true
+	}
+	return ready
+}
+
+// peer adds a router unless it is known or this one. The caller holds mu.
+func (x *Exchange) peer(address string) {
+	if address == "" || address == x.self || x.peers[address] != nil {
+		return
+	}
+	x.peers[address] = &peer{address: address, heard: time.Now()}
+}
+
+func (x *Exchange) call(ctx context.Context, p *peer) {
+	conn, err := x.connect(p)
+	var answer *arbutuspb.RouterState
+	if err == nil {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		answer, err = arbutuspb.NewRouterClient(conn).Exchange(ctx, x.state(nil))
+	}
+	x.answered(p, err)
+	if err == nil {
+		x.merge(answer)
+	}
+}
+
+func (x *Exchange) connect(p *peer) (*grpc.ClientConn, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if p.conn != nil {
+		return p.conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+p.address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithNoProxy(), grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: minConnect, Multiplier: 1.5, Jitter: 0.2, MaxDelay: maxBackoff},
+			MinConnectTimeout: minConnect,
+		}))
+	if err != nil {
+		return nil, errors.Wrapf(err, "router at %s", p.address)
+	}
+	p.conn = conn
+	return conn, nil
+}
+
+func (x *Exchange) answered(p *peer, err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p.busy = false
+	if err == nil {
+		x.calls.WithLabelValues("ok").Inc()
+		if p.lost {
+			x.log.WithField("address", p.address).Info("router regained")
+		}
+		p.misses, p.heard, p.lost = 0, time.Now(), false
+		return
+	}
+	x.calls.WithLabelValues("failed").Inc()
+	p.misses++
+	if p.misses%redialAfter != 0 {
+		return
+	}
+	if !p.lost {
+		x.log.WithError(err).WithField("address", p.address).Warn("router lost")
+	}
+	p.lost = true
+	p.close()
+}
+
+func (p *peer) close() {
+	if p.conn != nil {
+		_ = p.conn.Close() // The connection is given up; its error changes nothing.
+		p.conn = nil
+	}
+}
--- /dev/null
+++ b/modules/exchange/state.go
@@ -0,0 +1,114 @@
+package exchange
+
+import (
+	"context"
+	"time"
+
+	"github.com/arbutusline/arbutusline/api/arbutuspb"
+	"github.com/arbutusline/arbutusline/decision/replica"
+	"github.com/arbutusline/arbutusline/decision/selection"
+	"github.com/arbutusline/arbutusline/decision/strikes"
+)
+
+// Exchange takes another router's state and answers with this one's.
+func (x *Exchange) Exchange(_ context.Context, in *arbutuspb.RouterState) (*arbutuspb.RouterState, error) {
+	x.mu.Lock()
+	x.peer(in.GetAddress())
+	x.mu.Unlock()
+	x.merge(in)
+	return x.state(in), nil
+}
+
+// state returns what this router tells another one. In is the other's state in
+// an answer and nil in a call.
+func (x *Exchange) state(in *arbutuspb.RouterState) *arbutuspb.RouterState {
+	out := &arbutuspb.RouterState{Name: x.node.ID, Address: x.self}
+	for _, p := range x.directory.Positions() {
+		out.Positions = append(out.Positions, &arbutuspb.CopyPosition{Kind: p.Kind, Revision: p.Revision})
+	}
+	for _, l := range x.relay.Loads() {
+		out.Loads = append(out.Loads, &arbutuspb.EndpointLoad{
+			Endpoint: l.Endpoint, Running: uint32(l.Running), Unread: uint32(l.Unread),
+		})
+	}
+	for _, s := range x.relay.Strikes(maxStrikes) {
+		out.Strikes = append(out.Strikes, &arbutuspb.CrashStrike{
+			Fingerprint: s.Fingerprint, Endpoint: s.Endpoint, AgeMs: uint32(s.Age.Milliseconds()),
+		})
+	}
+	out.Changes = x.outgoingChanges()
+	if in != nil {
+		out.Copies = x.copies(in.GetPositions())
+	}
+	return out
+}
+
+func (x *Exchange) outgoingChanges() []*arbutuspb.WeightsChange {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var out []*arbutuspb.WeightsChange
+	kept := x.changes[:0]
+	for _, c := range x.changes {
+		out = append(out, c.news)
+		if c.sends--; c.sends > 0 {
+			kept = append(kept, c)
+		}
+	}
+	x.changes = kept
+	return out
+}
+
+// copies returns the objects that a router with these positions lacks.
+func (x *Exchange) copies(positions []*arbutuspb.CopyPosition) []*arbutuspb.CopyDelta {
+	var out []*arbutuspb.CopyDelta
+	for _, p := range positions {
+		entries, revision := x.directory.Since(p.GetKind(), p.GetRevision())
+		if revision == 0 {
+			continue
+		}
+		d := &arbutuspb.CopyDelta{Kind: p.GetKind(), Revision: revision}
+		for _, e := range entries {
+			d.Entries = append(d.Entries, &arbutuspb.CopyEntry{
+				Name: e.Name, Revision: e.Revision, Seen: e.Seen, Spec: e.Spec, Removed: e.Removed,
+			})
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+func (x *Exchange) merge(in *arbutuspb.RouterState) {
+	loads := make([]selection.Load, 0, len(in.GetLoads()))
+	for _, l := range in.GetLoads() {
+		loads = append(loads, selection.Load{Endpoint: l.GetEndpoint(), Running: int(l.GetRunning()), Unread: int(l.GetUnread())})
+	}
+	x.relay.RemoteLoads(in.GetName(), loads)
+	for _, s := range in.GetStrikes() {
+		x.relay.Struck(strikes.Strike{
+			Fingerprint: s.GetFingerprint(), Endpoint: s.GetEndpoint(), Age: time.Duration(s.GetAgeMs()) * time.Millisecond,
+		})
+	}
+	for _, c := range in.GetChanges() {
+		x.take(c)
+	}
+	for _, d := range in.GetCopies() {
+		entries := make([]replica.Entry, 0, len(d.GetEntries()))
+		for _, e := range d.GetEntries() {
+			entries = append(entries, replica.Entry{
+				Name: e.GetName(), Revision: e.GetRevision(), Seen: e.GetSeen(), Spec: e.GetSpec(), Removed: e.GetRemoved(),
+			})
+		}
+		x.directory.Merge(d.GetKind(), entries, d.GetRevision())
+	}
+}
+
+// take applies the news of a change of weights.
+func (x *Exchange) take(c *arbutuspb.WeightsChange) {
+	if c.GetDone() {
+		x.relay.Swapped(c.GetEndpoint(), c.GetModel(), c.GetVersion())
+		return
+	}
+	if e := x.directory.View().ByID[c.GetEndpoint()]; e != nil && e.Weights[c.GetModel()] < c.GetVersion() {
+		x.relay.Swapping(c.GetEndpoint())
+	}
+}
--- /dev/null
+++ b/modules/ingress/ingress.go
@@ -0,0 +1,325 @@
+// Package ingress is the module "ingress": the HTTP server for callers whose
+// routes and keys come from the operator's configuration. It checks a request
+// against the configuration and hands it to the relay.
+package ingress
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/modules/admin"
+	"github.com/arbutusline/arbutusline/modules/directory"
+	"github.com/arbutusline/arbutusline/modules/relay"
+	"github.com/arbutusline/arbutusline/platform"
+	"github.com/arbutusline/arbutusline/settings"
+)
+
+// Name is the name of the module.
+const Name = "ingress"
+
+const (
+	// maxHeaderBytes is the server's own bound, above every configured one.
+	maxHeaderBytes = 64 << 10
+	// headerTimeout and idleTimeout are above every configured limit, which the
+	// callers keep; a shorter one could close a connection under a request.
+	headerTimeout = 30 * time.Second
+	idleTimeout   = 10 * time.Minute
+	// defaultDeadline applies to requests that state none.
+	defaultDeadline = 30 * time.Second
+	// maxBodyBytes applies when the configuration states no limit.
+	maxBodyBytes = 16 << 20
+	// unknownRetryAfter is when a caller should come back to a router that has
+	// no configuration yet.
+	unknownRetryAfter = 300 * time.Millisecond
+)
+
+func init() {
+	arbutusline.Register(func() arbutusline.Module {
+		return &Ingress{Linger: settings.Duration(2500 * time.Millisecond)}
+	})
+}
+
+// Ingress serves callers.
+type Ingress struct {
+	// Listen is the address for callers. Required.
+	Listen string `json:"listen"`
+	// Linger is how long new connections are still taken after the shutdown
+	// began. Default 2.5s: the load balancer asks for readiness every second and
+	// stops sending after two refusals.
+	Linger settings.Duration `json:"linger"`
+
+	log       *logrus.Entry
+	admin     *admin.Admin
+	directory *directory.Directory
+	relay     *relay.Relay
+	server    *http.Server
+	stopping  atomic.Bool
+	refusals  *prometheus.CounterVec
+	inFlight  prometheus.Gauge
+}
+
+// ModuleName returns "ingress".
+func (g *Ingress) ModuleName() string { return Name }
+
+// Provision looks up the relay and registers the metrics.
+func (g *Ingress) Provision(k *arbutusline.Kernel) error {
+	g.log = k.Log.WithField("module", Name)
+	var err error
+	if g.admin, err = arbutusline.Lookup[*admin.Admin](k, admin.Name); err != nil {
+		return err
+	}
+	if g.directory, err = arbutusline.Lookup[*directory.Directory](k, directory.Name); err != nil {
+		return err
+	}
+	if g.relay, err = arbutusline.Lookup[*relay.Relay](k, relay.Name); err != nil {
+		return err
+	}
+	g.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_ingress_refusals_total", Help: "Requests refused before they reached the relay, by reason.",
+	}, []string{"reason"})
+	g.inFlight = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "arbutus_ingress_requests_in_flight", Help: "Requests that are being served.",
+	})
+	g.admin.Registry().MustRegister(g.refusals, g.inFlight)
+	return nil
+}
+
+// Validate checks the settings.
+func (g *Ingress) Validate() error {
+	if g.Listen == "" {
+		return errors.New("listen is required")
+	}
+	if g.Linger < 0 {
+		return errors.New("linger must not be negative")
+	}
+	return nil
+}
+
+// Start opens the listener and serves.
+func (g *Ingress) Start(context.Context) error {
+	listener, err := net.Listen("tcp", g.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	g.server = &http.Server{
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
+	}
+	g.log.WithField("address", listener.Addr().String()).Info("serving callers")
+	go func() {
+		if err := g.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			g.log.WithError(err).Error("server for callers ended")
+		}
+	}()
+	return nil
+}
+
+// Stop reports the router as not ready, serves on while the load balancer may
+// still send connections, and then waits for running requests until ctx ends.
+func (g *Ingress) Stop(ctx context.Context) error {
+	g.admin.SetStopping()
+	if g.server == nil {
+		return nil
+	}
+	g.stopping.Store(true)
+	t := time.NewTimer(g.Linger.D())
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	err := g.server.Shutdown(ctx)
+	if err != nil {
+		err = errors.CombineErrors(err, g.server.Close())
+	}
+	return errors.Wrap(err, "requests were still running")
+}
+
+func (g *Ingress) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	g.inFlight.Inc()
+	defer g.inFlight.Dec()
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	job, refusal := g.job(w, r, arrived)
+	if refusal != nil {
+		g.refuse(w, r, refusal)
+		return
+	}
+	report := g.relay.Run(r.Context(), w, job)
+	g.logReport(job, report)
+	if report.Incomplete {
+		panic(http.ErrAbortHandler) // Closes the connection without the end of the answer.
+	}
+}
+
+// refusal is an answer that the router gives itself.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+}
+
+// job reads the request and checks it against the configuration in force.
+func (g *Ingress) job(w http.ResponseWriter, r *http.Request, arrived time.Time) (*relay.Job, *refusal) {
+	config := g.directory.View().Config
+	if config == nil {
+		return nil, &refusal{http.StatusServiceUnavailable, "no_configuration", unknownRetryAfter}
+	}
+	body, refused := readBody(w, r, config.Limits)
+	if refused != nil {
+		return nil, refused
+	}
+	// A configuration that came into force while the body arrived prevails.
+	config = g.directory.View().Config
+	route, team, refused := authorise(config, r)
+	if refused != nil {
+		return nil, refused
+	}
+	job := &relay.Job{
+		ID: r.Header.Get(platform.HeaderRequestID), Method: r.Method, URI: target(r), Host: r.Host, Header: r.Header,
+		Body: body, Route: route, Team: team, Service: route.Pick(rand.Float64()), Arrived: arrived,
+		LastEventID: r.Header.Get(platform.HeaderLastEventID),
+	}
+	return job, complete(job, r.Header)
+}
+
+// complete decodes the headers that describe the job.
+func complete(job *relay.Job, h http.Header) *refusal {
+	if job.ID == "" {
+		return &refusal{http.StatusBadRequest, "no_request_id", 0}
+	}
+	deadline, err := platform.Deadline(h)
+	if err != nil {
+		return &refusal{http.StatusBadRequest, "malformed_deadline", 0}
+	}
+	if job.Prompt, err = platform.Prompt(h); err != nil {
+		return &refusal{http.StatusBadRequest, "malformed_prompt", 0}
+	}
+	if deadline == 0 {
+		deadline = defaultDeadline
+	}
+	if job.Route.Timeout > 0 {
+		deadline = min(deadline, job.Route.Timeout)
+	}
+	job.Expires = job.Arrived.Add(deadline)
+	return nil
+}
+
+func authorise(config *fleet.Configuration, r *http.Request) (*fleet.Route, *fleet.Team, *refusal) {
+	route := config.Route(r.Host, r.URL.EscapedPath())
+	if route == nil {
+		return nil, nil, &refusal{http.StatusNotFound, "no_route", 0}
+	}
+	team := config.Team(platform.Key(r.Header))
+	if team == nil && config.HasTeams && !route.Public {
+		return nil, nil, &refusal{http.StatusUnauthorized, "unknown_key", 0}
+	}
+	return route, team, nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limits fleet.Limits) ([]byte, *refusal) {
+	if limits.HeaderBytes > 0 && headerSize(r) > limits.HeaderBytes {
+		return nil, &refusal{http.StatusRequestHeaderFieldsTooLarge, "header_too_large", 0}
+	}
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = maxBodyBytes
+	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &refusal{http.StatusRequestEntityTooLarge, "body_too_large", 0}
+	case err != nil:
+		return nil, &refusal{http.StatusBadRequest, "body_incomplete", 0}
+	}
+	return body, nil
+}
+
+// readAll reads a body into a buffer of its stated length.
+func readAll(r io.Reader, length, limit int64) ([]byte, error) {
+	if length <= 0 || length > limit {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+func headerSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+// target returns the path and query as the caller sent them.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func (g *Ingress) refuse(w http.ResponseWriter, r *http.Request, f *refusal) {
+	id := r.Header.Get(platform.HeaderRequestID)
+	g.refusals.WithLabelValues(f.reason).Inc()
+	var version uint64
+	if c := g.directory.View().Config; c != nil {
+		version = c.Version
+	}
+	g.log.WithFields(logrus.Fields{
+		"request": id, "host": r.Host, "path": r.URL.Path, "status": f.status, "reason": f.reason, "configuration": version,
+	}).Warn("request refused")
+	h := w.Header()
+	if id != "" {
+		h.Set(platform.HeaderRequestID, id)
+	}
+	if f.retryAfter > 0 {
+		h.Set(platform.HeaderRetryAfter, platform.FormatRetryAfter(f.retryAfter))
+	}
+	h.Set("Content-Length", "0")
+	w.WriteHeader(f.status)
+}
+
+func (g *Ingress) logReport(job *relay.Job, r relay.Report) {
+	entry := g.log.WithFields(logrus.Fields{
+		"request": job.ID, "route": job.Route.Name, "team": teamName(job), "outcome": r.Outcome, "tries": r.Tries,
+		"endpoint": r.Endpoint, "first_ms": r.First.Milliseconds(), "took_ms": time.Since(job.Arrived).Milliseconds(),
+	})
+	if r.Reason != "" {
+		entry = entry.WithField("reason", r.Reason)
+	}
+	if r.Outcome == relay.OutcomeServed {
+		entry.Info("request ended")
+		return
+	}
+	entry.Warn("request ended")
+}
+
+func teamName(job *relay.Job) string {
+	if job.Team == nil {
+		return ""
+	}
+	return job.Team.Name
+}
--- /dev/null
+++ b/modules/relay/relay.go
@@ -0,0 +1,275 @@
+// Package relay is the module "relay": it runs a caller's request at an
+// endpoint. It chooses the endpoint, sends the request, passes the answer on and
+// decides after a failure whether the request may be tried again.
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/decision/budget"
+	"github.com/arbutusline/arbutusline/decision/selection"
+	"github.com/arbutusline/arbutusline/decision/strikes"
+	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/modules/admin"
+	"github.com/arbutusline/arbutusline/modules/directory"
+	"github.com/arbutusline/arbutusline/modules/node"
+	"github.com/arbutusline/arbutusline/modules/upstream"
+	"github.com/arbutusline/arbutusline/settings"
+)
+
+// Name is the name of the module.
+const Name = "relay"
+
+func init() {
+	arbutusline.Register(func() arbutusline.Module {
+		return &Relay{
+			PrefillTokensPerMs: 40, RetryRatio: 0.2, RetrySlack: 56,
+			RetryWindow: settings.Duration(budget.RetryWindow),
+		}
+	})
+}
+
+// Relay runs requests at endpoints.
+type Relay struct {
+	// PrefillTokensPerMs is the rate at which an engine reads a prompt. It
+	// converts prompt tokens to time when endpoints are compared. Default 40.
+	PrefillTokensPerMs float64 `json:"prefill_tokens_per_ms"`
+	// RetryRatio and RetrySlack bound the retries that all routers together
+	// send to a service within RetryWindow: RetryRatio for each request and
+	// RetrySlack beside. Defaults 0.2 and 56.
+	RetryRatio float64 `json:"retry_ratio"`
+	RetrySlack float64 `json:"retry_slack"`
+	// RetryWindow must be 10s.
+	RetryWindow settings.Duration `json:"retry_window"`
+
+	log       *logrus.Entry
+	directory *directory.Directory
+	upstream  *upstream.Client
+	zone      string
+	origin    time.Time
+
+	mu       sync.Mutex
+	selector *selection.Selector
+	strikes  *strikes.Table
+	budgets  map[string]*budget.Retry
+	loads    map[string]remoteLoad
+
+	metrics metrics
+}
+
+// remoteLoad is the work of another router at all endpoints.
+type remoteLoad struct {
+	at    time.Duration
+	loads []selection.Load
+}
+
+// loadLife is how long the load reported by another router counts. Routers
+// exchange loads several times a second.
+const loadLife = 1500 * time.Millisecond
+
+// ModuleName returns "relay".
+func (r *Relay) ModuleName() string { return Name }
+
+// Provision looks up the modules that the relay uses.
+func (r *Relay) Provision(k *arbutusline.Kernel) error {
+	r.log = k.Log.WithField("module", Name)
+	r.origin = time.Now()
+	r.strikes, r.budgets, r.loads = strikes.New(), map[string]*budget.Retry{}, map[string]remoteLoad{}
+	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
+	if err != nil {
+		return err
+	}
+	r.metrics.register(a.Registry())
+	if r.directory, err = arbutusline.Lookup[*directory.Directory](k, directory.Name); err != nil {
+		return err
+	}
+	if r.upstream, err = arbutusline.Lookup[*upstream.Client](k, upstream.Name); err != nil {
+		return err
+	}
+	n, err := arbutusline.Lookup[*node.Node](k, node.Name)
+	if err != nil {
+		return err
+	}
+	r.zone = n.Zone
+	r.selector = selection.New(selection.Config{
+		PrefillTokensPerMs: r.PrefillTokensPerMs, RereadFactor: rereadFactor, RunCost: runCost, ZoneCost: zoneCost,
+		OldWeightsCost: oldWeightsCost, OldWeightsGrace: oldWeightsGrace, FailureCost: failureCost,
+		ServiceTime: serviceTime, PartLife: partLife, MaxParts: maxParts,
+	}, r.zone)
+	r.directory.Watch(r.onView)
+	return nil
+}
+
+const (
+	// rereadFactor weighs the reading of shared parts against other work:
+	// reading them again also delays every request behind.
+	rereadFactor = 2
+	// runCost is the growth of an engine's step with one more request.
+	runCost = 300 * time.Microsecond
+	// zoneCost is a round trip between availability zones.
+	zoneCost = 3 * time.Millisecond
+	// oldWeightsCost outweighs the reading of the longest shared prompts.
+	oldWeightsCost = 300 * time.Millisecond
+	// oldWeightsGrace is the time within which new weights have no advantage
+	// for callers.
+	oldWeightsGrace = time.Second
+	// failureCost outweighs a full queue of a plain service.
+	failureCost = 500 * time.Millisecond
+	// serviceTime is the usual time of a call to a plain service.
+	serviceTime = 30 * time.Millisecond
+	// partLife is the time after which engines have mostly evicted a part.
+	partLife = 60 * time.Second
+	// maxParts takes about 4 MB.
+	maxParts = 20000
+)
+
+// Validate checks the ranges of the settings.
+func (r *Relay) Validate() error {
+	if r.PrefillTokensPerMs <= 0 || r.RetryRatio < 0 || r.RetrySlack < 0 {
+		return errors.New("prefill_tokens_per_ms must be positive, retry_ratio and retry_slack not negative")
+	}
+	if r.RetryWindow.D() != budget.RetryWindow {
+		return errors.Newf("retry_window must be %s", budget.RetryWindow)
+	}
+	return nil
+}
+
+func (r *Relay) now() time.Duration { return time.Since(r.origin) }
+
+func (r *Relay) onView(v *fleet.View) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.selector.Keep(v)
+}
+
+// Loads returns this router's work at endpoints.
+func (r *Relay) Loads() []selection.Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.selector.Loads()
+}
+
+// RemoteLoads takes the work of another router at endpoints.
+func (r *Relay) RemoteLoads(router string, loads []selection.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	r.loads[router] = remoteLoad{now, loads}
+	var all []selection.Load
+	for name, l := range r.loads {
+		if now-l.at > loadLife {
+			delete(r.loads, name)
+			continue
+		}
+		all = append(all, l.loads...)
+	}
+	r.selector.RemoteLoads(all)
+}
+
+// Strikes returns strikes that other routers may not know.
+func (r *Relay) Strikes(most int) []strikes.Strike {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.strikes.Outgoing(r.now(), most)
+}
+
+// Struck takes a strike of another router.
+func (r *Relay) Struck(s strikes.Strike) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.strikes.Add(r.now(), s) && r.strikes.Refused(r.now(), s.Fingerprint) {
+		r.log.WithFields(logrus.Fields{"fingerprint": s.Fingerprint, "source": "router"}).Warn("request refused from now on: it crashes endpoints")
+	}
+}
+
+// Swapping keeps requests away from an endpoint that is about to change its
+// weights.
+func (r *Relay) Swapping(endpoint string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.selector.Swapping(r.now(), endpoint)
+}
+
+// Swapped lets requests through to an endpoint that has changed its weights.
+func (r *Relay) Swapped(endpoint, model string, version uint64) {
+	r.directory.LearnWeights(endpoint, model, version)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.selector.Swapped(endpoint)
+}
+
+// allowRetry takes one retry from the service's budget.
+func (r *Relay) allowRetry(service string) bool {
+	routers := len(r.directory.Routers()) + 1
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(service, routers).Allow(r.now())
+}
+
+func (r *Relay) countFirst(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(service, 0).First(r.now())
+}
+
+// budget returns the service's budget, with the slack divided by the number of
+// routers when that is given.
+func (r *Relay) budget(service string, routers int) *budget.Retry {
+	b := r.budgets[service]
+	if b == nil {
+		b = &budget.Retry{Ratio: r.RetryRatio * budgetUse}
+		r.budgets[service] = b
+	}
+	if routers > 0 {
+		b.Slack = r.RetrySlack * budgetUse / float64(routers)
+	}
+	return b
+}
+
+// budgetUse leaves room for routers that do not know of each other yet.
+const budgetUse = 0.8
+
+type metrics struct {
+	requests *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	cached   prometheus.Counter
+	read     prometheus.Counter
+}
+
+func (m *metrics) register(r prometheus.Registerer) {
+	m.requests = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_requests_total", Help: "Requests by route kind and outcome.",
+	}, []string{"kind", "outcome"})
+	m.retries = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_retries_total", Help: "Further attempts by the reason for which the one before failed.",
+	}, []string{"reason"})
+	m.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "arbutus_first_answer_seconds", Help: "Time from arrival to the answer or first event.",
+		Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
+	}, []string{"kind"})
+	m.cached = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "arbutus_prompt_tokens_expected_cached_total", Help: "Prompt tokens believed to be cached where they were sent.",
+	})
+	m.read = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "arbutus_prompt_tokens_expected_read_total", Help: "Prompt tokens believed to be read by the engine.",
+	})
+	r.MustRegister(m.requests, m.retries, m.latency, m.cached, m.read)
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/modules/upgrade/change.go
@@ -0,0 +1,164 @@
+package upgrade
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/arbutusline/arbutusline/modules/upstream"
+	"github.com/arbutusline/arbutusline/platform"
+)
+
+const (
+	// announceLead is the time that the other routers have to take the news
+	// before the order is sent: some round trips within a region.
+	announceLead = 15 * time.Millisecond
+	// pollEvery is the time between two reports while weights change.
+	pollEvery = 200 * time.Millisecond
+	// changeTimeout bounds one change; running requests end and a load takes
+	// under a second, longer when several engines load.
+	changeTimeout = 8 * time.Second
+	// repeatOrder is how long an unanswered order may show no effect before it
+	// is sent again.
+	repeatOrder = 800 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
+	// maxReportBytes bounds a report.
+	maxReportBytes = 1 << 20
+)
+
+// orderResult is what an engine's answer to an order means.
+type orderResult string
+
+const (
+	accepted   orderResult = "accepted"
+	holds      orderResult = "already_holds"
+	conflict   orderResult = "conflict"
+	stale      orderResult = "stale_fence"
+	gone       orderResult = "gone"
+	rejected   orderResult = "rejected"
+	unanswered orderResult = "no_answer"
+)
+
+// change brings one engine to the version. It returns when the engine has it,
+// is gone, or the time or the lease ran out.
+func (u *Upgrade) change(ctx context.Context, s step) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	u.exchange.Announce(s.endpoint.ID, s.model, s.version, false)
+	sleep(ctx, announceLead)
+	var orderedAt time.Time
+	for ctx.Err() == nil {
+		report, err := u.report(ctx, s)
+		switch {
+		case err != nil:
+			u.log.WithError(err).WithField("endpoint", s.endpoint.ID).Info("engine does not report")
+		case report.Weights[s.model] >= s.version && !report.Busy:
+			u.completed(s, report.Weights[s.model])
+			return
+		case !report.Busy && time.Since(orderedAt) > repeatOrder:
+			result, sent := u.order(ctx, s, report.Orders)
+			if !sent || result == gone {
+				return
+			}
+			if result == holds {
+				u.completed(s, s.version)
+				return
+			}
+			if result == accepted || result == unanswered {
+				orderedAt = time.Now()
+			}
+		}
+		if u.directory.View().ByID[s.endpoint.ID] == nil {
+			return
+		}
+		sleep(ctx, pollEvery)
+	}
+}
+
+func (u *Upgrade) completed(s step, version uint64) {
+	u.log.WithFields(logrus.Fields{"endpoint": s.endpoint.ID, "model": s.model, "weights": version}).Info("weights changed")
+	u.exchange.Announce(s.endpoint.ID, s.model, version, true)
+}
+
+// report asks the engine for its state.
+func (u *Upgrade) report(ctx context.Context, s step) (platform.Report, error) {
+	_, body, err := u.send(ctx, s, http.MethodGet, platform.ReportPath, nil)
+	if err != nil {
+		return platform.Report{}, err
+	}
+	return platform.DecodeReport(body)
+}
+
+// order sends the order if this router may. Sent is false when it may not.
+func (u *Upgrade) order(ctx context.Context, s step, orders uint64) (result orderResult, sent bool) {
+	u.mu.Lock()
+	fence, leads := u.lease.MayOrder(clock())
+	u.mu.Unlock()
+	if !leads {
+		return "", false
+	}
+	body, err := platform.EncodeWeightsOrder(s.model, s.version, platform.SwapAfterRuns, u.Holder, fence, orders)
+	if err != nil {
+		u.log.WithError(err).Error("order not encoded")
+		return "", false
+	}
+	status, _, err := u.send(ctx, s, http.MethodPost, platform.OrderPath, body)
+	result = resultOf(status, err)
+	u.orders.WithLabelValues(string(result)).Inc()
+	u.log.WithFields(logrus.Fields{
+		"endpoint": s.endpoint.ID, "model": s.model, "weights": s.version, "fence": fence, "orders": orders,
+		"status": status, "result": result,
+	}).Info("order sent")
+	return result, true
+}
+
+func resultOf(status int, err error) orderResult {
+	switch {
+	case err != nil:
+		return unanswered
+	case status == http.StatusAccepted:
+		return accepted
+	case status == http.StatusOK:
+		return holds
+	case status == http.StatusConflict:
+		return conflict
+	case status == http.StatusPreconditionFailed:
+		return stale
+	case status == http.StatusMisdirectedRequest:
+		return gone
+	}
+	return rejected
+}
+
+func (u *Upgrade) send(ctx context.Context, s step, method, path string, body []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := u.upstream.Do(ctx, s.endpoint.Address, &upstream.Request{
+		Method: method, URI: path, Host: s.endpoint.Address, Header: platform.EngineCall(s.endpoint.ID, body != nil), Body: body,
+	})
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = answer.Body.Close() }() // Closing gives the connection back or drops it.
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxReportBytes))
+	if err != nil {
+		return 0, nil, err
+	}
+	if answer.Status >= http.StatusMultipleChoices && method == http.MethodGet {
+		return answer.Status, nil, errors.Newf("report answered with status %d", answer.Status)
+	}
+	return answer.Status, text, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/modules/upgrade/upgrade.go
@@ -0,0 +1,291 @@
+// Package upgrade is the module "upgrade": it brings the engines to the weights
+// version that is named in the platform's store. One router at a time holds the
+// lease and gives the orders, a few engines at once; it tells the others to keep
+// requests away from an engine while its weights change.
+package upgrade
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/decision/lease"
+	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/modules/admin"
+	"github.com/arbutusline/arbutusline/modules/directory"
+	"github.com/arbutusline/arbutusline/modules/exchange"
+	"github.com/arbutusline/arbutusline/modules/node"
+	"github.com/arbutusline/arbutusline/modules/upstream"
+	"github.com/arbutusline/arbutusline/platform"
+	"github.com/arbutusline/arbutusline/settings"
+)
+
+// Name is the name of the module.
+const Name = "upgrade"
+
+const (
+	kindLeases = "arbutus-leases"
+	leaseName  = "orders"
+
+	// tick is the period of the lease and the plan.
+	tick = 50 * time.Millisecond
+	// valid is how long a holder gives orders after its last renewal, and renew
+	// the age at which it renews; two renewals may fail.
+	valid = 2 * time.Second
+	renew = 800 * time.Millisecond
+	// margin covers the way of an order and the drift of clocks.
+	margin = 500 * time.Millisecond
+	// look is the time between two reads of another holder's lease.
+	look = time.Second
+	// staggerStep and staggerRanks spread the takeover from an idle holder.
+	staggerStep  = 300 * time.Millisecond
+	staggerRanks = 8
+	// concurrentShare is the part of a service's engines that change their
+	// weights at once: loads slow each other down beyond about a sixth.
+	concurrentShare = 5
+	minConcurrent   = 2
+)
+
+func init() {
+	arbutusline.Register(func() arbutusline.Module {
+		return &Upgrade{TurnPause: settings.Duration(3 * time.Second)}
+	})
+}
+
+// Upgrade orders weights changes.
+type Upgrade struct {
+	// Holder names this machine in the lease and in orders. Required.
+	Holder string `json:"holder"`
+	// TurnPause is the least time between orders of two holders. Default 3s.
+	TurnPause settings.Duration `json:"turn_pause"`
+
+	log       *logrus.Entry
+	directory *directory.Directory
+	exchange  *exchange.Exchange
+	upstream  *upstream.Client
+	store     *platform.Store
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
+
+	mu     sync.Mutex
+	lease  *lease.Machine
+	leader bool
+	active map[string]bool
+
+	orders *prometheus.CounterVec
+	leads  prometheus.Gauge
+}
+
+// ModuleName returns "upgrade".
+func (u *Upgrade) ModuleName() string { return Name }
+
+// Provision looks up the modules that it uses.
+func (u *Upgrade) Provision(k *arbutusline.Kernel) error {
+	u.log = k.Log.WithField("module", Name)
+	u.active = map[string]bool{}
+	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
+	if err != nil {
+		return err
+	}
+	u.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_weights_orders_total", Help: "Orders to change weights by result.",
+	}, []string{"result"})
+	u.leads = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "arbutus_weights_order_lease_held", Help: "1 while this router may give orders.",
+	})
+	a.Registry().MustRegister(u.orders, u.leads)
+	if u.directory, err = arbutusline.Lookup[*directory.Directory](k, directory.Name); err != nil {
+		return err
+	}
+	u.store = u.directory.PlatformStore()
+	if u.exchange, err = arbutusline.Lookup[*exchange.Exchange](k, exchange.Name); err != nil {
+		return err
+	}
+	if u.upstream, err = arbutusline.Lookup[*upstream.Client](k, upstream.Name); err != nil {
+		return err
+	}
+	n, err := arbutusline.Lookup[*node.Node](k, node.Name)
+	if err != nil {
+		return err
+	}
+	u.lease = lease.New(lease.Config{
+		Holder: u.Holder, Valid: valid, Renew: renew, Pause: u.TurnPause.D(), Margin: margin, Look: look,
+		Stagger: staggerStep * time.Duration(1+xxhash.Sum64String(n.ID)%staggerRanks),
+	})
+	return nil
+}
+
+// Validate checks the settings.
+func (u *Upgrade) Validate() error {
+	if u.Holder == "" {
+		return errors.New("holder is required")
+	}
+	if u.TurnPause <= 0 {
+		return errors.New("turn_pause must be positive")
+	}
+	return nil
+}
+
+// Start begins to look for work.
+func (u *Upgrade) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	u.cancel = cancel
+	u.done.Go(func() { u.loop(ctx) })
+	return nil
+}
+
+// Stop gives no more orders.
+func (u *Upgrade) Stop(context.Context) error {
+	if u.cancel != nil {
+		u.cancel()
+	}
+	u.done.Wait()
+	return nil
+}
+
+// clock counts the time for which the machine was suspended, too.
+func clock() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic(errors.Wrap(err, "CLOCK_BOOTTIME")) // Every Linux has this clock.
+	}
+	return time.Duration(ts.Nano())
+}
+
+func (u *Upgrade) loop(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		steps := u.plan(u.directory.View())
+		u.mu.Lock()
+		a := u.lease.Next(clock(), len(steps) > 0 || len(u.active) > 0)
+		u.mu.Unlock()
+		if a.Kind != lease.None {
+			u.done.Go(func() { u.call(ctx, a) })
+		}
+		u.noteLeader()
+		for _, s := range steps {
+			u.begin(ctx, s)
+		}
+	}
+}
+
+func (u *Upgrade) noteLeader() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	fence, leads := u.lease.MayOrder(clock())
+	if leads == u.leader {
+		return
+	}
+	u.leader = leads
+	u.log.WithFields(logrus.Fields{"fence": fence, "held": leads}).Info("order lease changed")
+	if leads {
+		u.leads.Set(1)
+	} else {
+		u.leads.Set(0)
+	}
+}
+
+// call makes the lease's call to the store.
+func (u *Upgrade) call(ctx context.Context, a lease.Action) {
+	var o platform.Object
+	var err error
+	switch a.Kind {
+	case lease.Read:
+		o, err = u.store.Get(ctx, kindLeases, leaseName)
+	case lease.Create:
+		o, err = u.store.Create(ctx, kindLeases, leaseName, a.Record)
+	case lease.Replace:
+		o, err = u.store.Replace(ctx, kindLeases, leaseName, a.Revision, a.Record)
+	}
+	var r lease.Record
+	if err == nil {
+		err = errors.Mark(json.Unmarshal(o.Spec, &r), platform.ErrProtocol)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case err == nil && a.Kind == lease.Read:
+		u.lease.Observed(clock(), r, o.Metadata.Revision)
+	case err == nil:
+		u.lease.Wrote(a.Record, o.Metadata.Revision)
+	case errors.Is(err, platform.ErrNotFound):
+		u.lease.Observed(clock(), lease.Record{}, 0)
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited):
+		u.lease.Failed(false)
+	default:
+		// After a conflict, too, the record has to be read again.
+		u.lease.Failed(true)
+		u.log.WithError(err).WithField("fence", a.Record.Fence).Info("order lease not written")
+	}
+}
+
+// step is an engine that needs other weights.
+type step struct {
+	endpoint *fleet.Endpoint
+	model    string
+	version  uint64
+}
+
+func (s step) key() string { return s.endpoint.ID + "/" + s.model }
+
+// plan returns the engines that need other weights and may be changed now.
+func (u *Upgrade) plan(v *fleet.View) []step {
+	if v.Config == nil || len(v.Weights) == 0 {
+		return nil
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var out []step
+	for name, service := range v.Config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		endpoints := v.ByService[name]
+		room := max(minConcurrent, len(endpoints)/concurrentShare)
+		var need []step
+		for _, e := range endpoints {
+			for model, version := range e.Weights {
+				s := step{e, model, v.Weights[model]}
+				if version >= s.version || e.State != fleet.Ready {
+					continue
+				}
+				if u.active[s.key()] {
+					room--
+					continue
+				}
+				need = append(need, s)
+			}
+		}
+		out = append(out, need[:min(len(need), max(0, room))]...)
+	}
+	return out
+}
+
+func (u *Upgrade) begin(ctx context.Context, s step) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if _, leads := u.lease.MayOrder(clock()); !leads || u.active[s.key()] {
+		return
+	}
+	u.active[s.key()] = true
+	u.done.Go(func() {
+		u.change(ctx, s)
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		delete(u.active, s.key())
+	})
+}
--- /dev/null
+++ b/modules/upstream/upstream.go
@@ -0,0 +1,259 @@
+// Package upstream is the module "upstream": HTTP connections to endpoints. It
+// sends one request at a time on a connection, matches each answer with its
+// request by id, and says of every failure whether the request may have run.
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/modules/admin"
+	"github.com/arbutusline/arbutusline/settings"
+)
+
+// Name is the name of the module.
+const Name = "upstream"
+
+// Errors of Do.
+var (
+	// ErrNotSent means that no byte of the request reached the endpoint.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrBroken means that the request was sent in part or whole and no usable
+	// answer came: it may have run.
+	ErrBroken = errors.New("connection broke before the answer was complete")
+)
+
+const (
+	// concurrentWriteBytes is the body size from which the answer is read while
+	// the body is still being written: an endpoint may answer early, and a body
+	// above the socket's window would otherwise block both sides.
+	concurrentWriteBytes = 8 << 10
+	// maxForeignAnswers is the number of answers to other requests that are
+	// skipped before a connection is given up.
+	maxForeignAnswers = 4
+	// maxForeignBytes bounds the body of an answer to another request.
+	maxForeignBytes = 64 << 10
+	readBufferBytes = 4 << 10
+)
+
+func init() {
+	arbutusline.Register(func() arbutusline.Module {
+		return &Client{
+			DialTimeout: settings.Duration(400 * time.Millisecond),
+			AckTimeout:  settings.Duration(1500 * time.Millisecond),
+			MaxIdle:     settings.Duration(4 * time.Second),
+		}
+	})
+}
+
+// Client holds the connections to all endpoints. It is safe for concurrent use.
+type Client struct {
+	// DialTimeout bounds the opening of a connection. Default 400ms, some
+	// hundred round trips between availability zones.
+	DialTimeout settings.Duration `json:"dial_timeout"`
+	// AckTimeout is how long sent bytes may stay unacknowledged before the
+	// connection counts as dead. Default 1.5s.
+	AckTimeout settings.Duration `json:"ack_timeout"`
+	// MaxIdle is the longest time that an idle connection is kept; an endpoint
+	// that states a shorter time prevails. Default 4s.
+	MaxIdle settings.Duration `json:"max_idle"`
+
+	mu     sync.Mutex
+	hosts  map[string]*pool
+	opened prometheus.Counter
+	broken *prometheus.CounterVec
+}
+
+type pool struct {
+	idle []*conn
+	open int
+}
+
+// ModuleName returns "upstream".
+func (c *Client) ModuleName() string { return Name }
+
+// Provision registers the metrics.
+func (c *Client) Provision(k *arbutusline.Kernel) error {
+	c.hosts = map[string]*pool{}
+	c.opened = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "arbutus_upstream_connections_opened_total", Help: "Connections opened to endpoints.",
+	})
+	c.broken = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_upstream_failures_total", Help: "Failed exchanges with endpoints by reason.",
+	}, []string{"reason"})
+	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
+	if err != nil {
+		return err
+	}
+	a.Registry().MustRegister(c.opened, c.broken)
+	return nil
+}
+
+// Validate checks that the times are positive.
+func (c *Client) Validate() error {
+	if c.DialTimeout <= 0 || c.AckTimeout <= 0 || c.MaxIdle <= 0 {
+		return errors.New("dial_timeout, ack_timeout and max_idle must be positive")
+	}
+	return nil
+}
+
+// Request is one request to an endpoint.
+type Request struct {
+	Method string
+	// URI is the request target as the caller sent it.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// ID is compared with the id in the answer. Empty accepts any answer.
+	ID string
+	// IDHeader is the header of the answer that repeats ID.
+	IDHeader string
+	// MaxIdle is the age up to which an idle connection is used for this
+	// request. Zero means the client's limit.
+	MaxIdle time.Duration
+	// MaxConnections bounds the open connections to the endpoint, 0 for no
+	// bound.
+	MaxConnections int
+}
+
+// Answer is an endpoint's answer. Body must be closed; its Read fails with
+// ErrBroken when the connection ends before the body is complete.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+}
+
+// Do sends the request to the address and returns the head of its answer. It
+// fails with ErrNotSent, ErrBroken or, when ctx ended after the request was
+// sent, with an error that is both ErrBroken and the context's. The end of ctx
+// closes the connection at any time until the body is closed.
+func (c *Client) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
+	cn, err := c.take(ctx, address, r)
+	if err != nil {
+		c.broken.WithLabelValues("dial").Inc()
+		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrNotSent)
+	}
+	cn.guard(ctx)
+	answer, err := cn.exchange(r)
+	if err != nil {
+		cn.discard()
+		c.broken.WithLabelValues("exchange").Inc()
+		if ctx.Err() != nil {
+			err = errors.CombineErrors(ctx.Err(), err)
+		}
+		return nil, errors.Mark(errors.Wrapf(err, "exchange with %s", address), ErrBroken)
+	}
+	return answer, nil
+}
+
+// take returns an idle connection or opens one.
+func (c *Client) take(ctx context.Context, address string, r *Request) (*conn, error) {
+	limit := c.MaxIdle.D()
+	if r.MaxIdle > 0 {
+		limit = min(limit, r.MaxIdle)
+	}
+	for {
+		cn, err := c.popIdle(address, r.MaxConnections)
+		if err != nil {
+			return nil, err
+		}
+		if cn == nil {
+			return c.dial(ctx, address)
+		}
+		if time.Since(cn.idleSince) < min(limit, cn.idleLimit) && cn.quiet() {
+			return cn, nil
+		}
+		cn.discard()
+	}
+}
+
+func (c *Client) popIdle(address string, maxOpen int) (*conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.hosts[address]
+	if p == nil {
+		p = &pool{}
+		c.hosts[address] = p
+	}
+	if n := len(p.idle); n > 0 {
+		cn := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		return cn, nil
+	}
+	if maxOpen > 0 && p.open >= maxOpen {
+		return nil, errors.Newf("%d connections are open", p.open)
+	}
+	p.open++
+	return nil, nil
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+	d := net.Dialer{
+		Timeout: c.DialTimeout.D(), Control: c.control,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
+		},
+	}
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		c.closed(address)
+		return nil, err
+	}
+	c.opened.Inc()
+	return newConn(c, address, nc), nil
+}
+
+func (c *Client) closed(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.hosts[address]
+	if p == nil {
+		return
+	}
+	if p.open--; p.open <= 0 && len(p.idle) == 0 {
+		delete(c.hosts, address)
+	}
+}
+
+func (c *Client) putIdle(cn *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cn.idleSince = time.Now()
+	p := c.hosts[cn.address]
+	p.idle = append(p.idle, cn)
+}
+
+// CloseIdle closes the connections that have been idle for too long.
+func (c *Client) CloseIdle() {
+	for _, cn := range c.expired() {
+		cn.discard()
+	}
+}
+
+func (c *Client) expired() []*conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var old []*conn
+	for _, p := range c.hosts {
+		kept := p.idle[:0]
+		for _, cn := range p.idle {
+			if time.Since(cn.idleSince) < min(c.MaxIdle.D(), cn.idleLimit) {
+				kept = append(kept, cn)
+			} else {
+				old = append(old, cn)
+			}
+		}
+		p.idle = kept
+	}
+	return old
+}
