Fetch prompt parts from other engines; change weights faster

Routers now tell each other which engine has read a part, and engines fetch it; streams that may be resumed move away from an engine that changes, and more engines change at once. SIGHUP no longer ends the process.

--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -84,10 +84,45 @@
 
 // FirstEvent records that the prompt of a request was read, or that the request
 // ended before.
-func (s *Selector) FirstEvent(r *Request, c Choice) {
-	if r.Prompt != nil {
-		st := s.endpoint(c.Endpoint.ID)
-		st.unread = max(0, st.unread-(r.Prompt.InputTokens-c.CachedTokens))
+func (s *Selector) FirstEvent(r *Request, c Choice, read bool) {
+	if r.Prompt == nil {
+		return
+	}
+	st := s.endpoint(c.Endpoint.ID)
+	st.unread = max(0, st.unread-(r.Prompt.InputTokens-c.CachedTokens))
+	if !read {
+		return
+	}
+	for _, key := range partChain(r.Namespace, r.Prompt) {
+		s.parts.finished(key, c.Endpoint.ID, c.Weights)
+	}
+}
+
+// NewParts returns the parts that endpoints have read for this router since the
+// last call.
+func (s *Selector) NewParts() []Held {
+	var out []Held
+	index := map[string]int{}
+	for _, n := range s.parts.fresh {
+		i, ok := index[n.endpoint]
+		if !ok || out[i].Weights != n.weights {
+			i = len(out)
+			index[n.endpoint] = i
+			out = append(out, Held{Endpoint: n.endpoint, Weights: n.weights})
+		}
+		out[i].Keys = append(out[i].Keys, n.key)
+	}
+	s.parts.fresh = nil
+	return out
+}
+
+// RemoteParts takes the parts that endpoints have read for another router.
+func (s *Selector) RemoteParts(now time.Duration, held []Held) {
+	for _, h := range held {
+		for _, key := range h.Keys {
+			s.parts.used(key, h.Endpoint, h.Weights, now)
+			s.parts.find(key, h.Endpoint, h.Weights).read = true
+		}
 	}
 }
 
@@ -139,11 +174,20 @@
 }
 
 // Swapping keeps requests away from an endpoint whose weights are about to
-// change, until Swapped or a time limit.
-func (s *Selector) Swapping(now time.Duration, endpoint string) {
-	if st := s.endpoint(endpoint); now >= st.swapUntil {
-		st.swapUntil = now + maxSwap
+// change, until Swapped or a time limit. It reports whether this is news.
+func (s *Selector) Swapping(now time.Duration, endpoint string) bool {
+	st := s.endpoint(endpoint)
+	if now < st.swapUntil {
+		return false
 	}
+	st.swapUntil = now + maxSwap
+	return true
+}
+
+// Running returns the requests that all routers have at an endpoint.
+func (s *Selector) Running(endpoint string) int {
+	st := s.endpoint(endpoint)
+	return st.running + st.remoteRunning
 }
 
 // Swapped ends Swapping. The endpoint's cache is empty. Repeated news has no
--- a/decision/selection/parts.go
+++ b/decision/selection/parts.go
@@ -12,6 +12,9 @@
 // routers start an unknown part at the same endpoint.
 const homeSpread = 40 * time.Millisecond
 
+// maxNews bounds the holders that wait to be told to other routers.
+const maxNews = 1000
+
 // holdersPerPart is the number of endpoints that are remembered for a part.
 const holdersPerPart = 4
 
@@ -49,11 +52,29 @@
 	endpoint string
 	weights  uint64
 	used     time.Duration
+	// read means that the endpoint has finished reading the part, so that
+	// others can fetch it there.
+	read bool
+}
+
+// Held says that an endpoint holds parts that it read under a weights version.
+type Held struct {
+	Endpoint string
+	Weights  uint64
+	Keys     []uint64
+}
+
+// news is a holder that other routers may not know.
+type news struct {
+	key      uint64
+	endpoint string
+	weights  uint64
 }
 
 type partTable struct {
 	max     int
 	holders map[uint64][]holder
+	fresh   []news
 }
 
 func newPartTable(limit int) partTable {
@@ -69,11 +90,37 @@
 	return false
 }
 
+// find returns the holder of a part at an endpoint, or nil.
+func (t *partTable) find(key uint64, endpoint string, weights uint64) *holder {
+	list := t.holders[key]
+	for i := range list {
+		if list[i].endpoint == endpoint && list[i].weights == weights {
+			return &list[i]
+		}
+	}
+	return nil
+}
+
+// finished notes that the endpoint has read a part.
+func (t *partTable) finished(key uint64, endpoint string, weights uint64) {
+	h := t.find(key, endpoint, weights)
+	if h == nil || h.read {
+		return
+	}
+	h.read = true
+	if len(t.fresh) < maxNews {
+		t.fresh = append(t.fresh, news{key, endpoint, weights})
+	}
+}
+
 func (t *partTable) used(key uint64, endpoint string, weights uint64, now time.Duration) {
 	list := t.holders[key]
 	oldest := 0
 	for i, h := range list {
 		if h.endpoint == endpoint {
+			if h.weights != weights {
+				list[i].read = false
+			}
 			list[i].weights, list[i].used = weights, now
 			return
 		}
@@ -81,7 +128,7 @@
 			oldest = i
 		}
 	}
-	h := holder{endpoint, weights, now}
+	h := holder{endpoint: endpoint, weights: weights, used: now}
 	if len(list) >= holdersPerPart {
 		list[oldest] = h
 		return
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -30,6 +30,9 @@
 	FailureCost time.Duration
 	// ServiceTime is the assumed time of one request at a plain service.
 	ServiceTime time.Duration
+	// FetchTokensPerMs is the rate at which an engine fetches parts from
+	// another one.
+	FetchTokensPerMs float64
 	// PartLife is how long a part counts as cached after its last use.
 	PartLife time.Duration
 	// MaxParts bounds the number of parts that are remembered.
@@ -84,8 +87,10 @@
 	var best Choice
 	found := false
 	var chain []uint64
+	var src source
 	if r.Prompt != nil {
 		chain = partChain(r.Namespace, r.Prompt)
+		src = s.source(now, v, r, chain)
 	}
 	for _, e := range v.ByService[r.Service] {
 		if e.State != fleet.Ready || contains(r.Exclude, e.ID) {
@@ -95,21 +100,15 @@
 		if st.swapping(now) || now < st.busyUntil || !st.admits(now, r.Repeatable) || st.full(e) {
 			continue
 		}
-		c := s.cost(now, wall, v, r, chain, e, st)
+		c := s.cost(now, wall, v, r, chain, &src, e, st)
 		if !found || c.Cost < best.Cost {
 			best, found = c, true
 		}
 	}
-	if !found {
-		return Choice{}, false
-	}
-	if r.Prompt != nil {
-		best.FetchFrom = s.source(now, v, r, chain, best)
-	}
-	return best, true
+	return best, found
 }
 
-func (s *Selector) cost(now time.Duration, wall time.Time, v *fleet.View, r *Request, chain []uint64, e *fleet.Endpoint, st *endpointState) Choice {
+func (s *Selector) cost(now time.Duration, wall time.Time, v *fleet.View, r *Request, chain []uint64, src *source, e *fleet.Endpoint, st *endpointState) Choice {
 	c := Choice{Endpoint: e}
 	cost := time.Duration(st.failure * float64(s.cfg.FailureCost))
 	if e.Zone != s.zone {
@@ -127,6 +126,11 @@
 	c.CachedTokens = s.cached(now, chain, r.Prompt, e.ID, c.Weights)
 	own := r.Prompt.InputTokens - r.Prompt.SharedTokens()
 	missing := r.Prompt.SharedTokens() - c.CachedTokens
+	if fetched := src.tokens - c.CachedTokens; src.address != "" && src.weights == c.Weights && fetched >= minFetchTokens {
+		missing -= fetched
+		cost += time.Duration(float64(fetched) / s.cfg.FetchTokensPerMs * float64(time.Millisecond))
+		c.FetchFrom = src.address
+	}
 	cost += s.reading(float64(own) + float64(missing)*s.cfg.RereadFactor)
 	cost += s.reading(float64(st.unread + st.remoteUnread))
 	cost += s.cfg.RunCost * time.Duration(st.running+st.remoteRunning)
@@ -152,22 +156,48 @@
 	return n
 }
 
-// source returns the address of the endpoint that holds the most shared tokens
-// beyond those of the choice, under the same weights.
-func (s *Selector) source(now time.Duration, v *fleet.View, r *Request, chain []uint64, c Choice) string {
-	best, address := c.CachedTokens+minFetchTokens, ""
-	for _, e := range v.ByService[r.Service] {
-		if e.ID == c.Endpoint.ID || e.Zone != c.Endpoint.Zone || e.Weights[r.Prompt.Model] != c.Weights {
+// source is an endpoint from which others can fetch parts.
+type source struct {
+	address string
+	weights uint64
+	tokens  int
+}
+
+// source returns the endpoint that has read the most of the prompt's shared
+// parts under the newest weights that any such endpoint serves.
+func (s *Selector) source(now time.Duration, v *fleet.View, r *Request, chain []uint64) source {
+	var best source
+	if len(chain) == 0 {
+		return best
+	}
+	for _, h := range s.parts.holders[chain[0]] {
+		e := v.ByID[h.endpoint]
+		if e == nil || !h.read || h.used < now-s.cfg.PartLife || e.Weights[r.Prompt.Model] != h.weights {
 			continue
 		}
-		if st := s.endpoint(e.ID); st.swapping(now) || st.failure > 0 {
+		if st := s.endpoint(e.ID); st.swapping(now) || st.suspensions > 0 {
 			continue
 		}
-		if n := s.cached(now, chain, r.Prompt, e.ID, c.Weights); n >= best {
-			best, address = n+1, e.Address
+		n := s.readTokens(now, chain, r.Prompt, e.ID, h.weights)
+		if h.weights > best.weights || h.weights == best.weights && n > best.tokens {
+			best = source{e.Address, h.weights, n}
 		}
 	}
-	return address
+	return best
+}
+
+// readTokens returns the tokens of the leading shared parts that the endpoint
+// has finished reading.
+func (s *Selector) readTokens(now time.Duration, chain []uint64, p *fleet.Prompt, endpoint string, weights uint64) int {
+	n := 0
+	for i, key := range chain {
+		h := s.parts.find(key, endpoint, weights)
+		if h == nil || !h.read || h.used < now-s.cfg.PartLife {
+			break
+		}
+		n += p.Parts[i].Tokens
+	}
+	return n
 }
 
 // minFetchTokens is the least gain for which parts are fetched: below it the
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -45,6 +45,9 @@
 	maxBackoff = time.Second
 	// changeRepeats is the number of rounds that carry a change of weights.
 	changeRepeats = 6
+	// partRepeats is the number of messages that carry news of a part: two
+	// rounds with the usual number of routers.
+	partRepeats = 6
 	// maxStrikes bounds the strikes in one message.
 	maxStrikes = 64
 )
@@ -79,6 +82,7 @@
 	mu      sync.Mutex
 	peers   map[string]*peer
 	changes []*change
+	parts   []*heldNews
 	round   int
 
 	calls *prometheus.CounterVec
@@ -99,6 +103,11 @@
 	sends int
 }
 
+type heldNews struct {
+	news  *arbutuspb.HeldParts
+	sends int
+}
+
 // ModuleName returns "exchange".
 func (x *Exchange) ModuleName() string { return Name }
 
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -36,26 +36,43 @@
 			Fingerprint: s.Fingerprint, Endpoint: s.Endpoint, AgeMs: uint32(s.Age.Milliseconds()),
 		})
 	}
-	out.Changes = x.outgoingChanges()
+	out.Changes, out.Parts = x.outgoing()
 	if in != nil {
 		out.Copies = x.copies(in.GetPositions())
 	}
 	return out
 }
 
-func (x *Exchange) outgoingChanges() []*arbutuspb.WeightsChange {
+// outgoing returns the news that are told several times. Each round collects
+// the parts that were read since the last one.
+func (x *Exchange) outgoing() ([]*arbutuspb.WeightsChange, []*arbutuspb.HeldParts) {
+	fresh := x.relay.NewParts()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	var out []*arbutuspb.WeightsChange
-	kept := x.changes[:0]
+	for _, h := range fresh {
+		x.parts = append(x.parts, &heldNews{
+			news: &arbutuspb.HeldParts{Endpoint: h.Endpoint, Weights: h.Weights, Keys: h.Keys}, sends: partRepeats,
+		})
+	}
+	var changes []*arbutuspb.WeightsChange
+	keptChanges := x.changes[:0]
 	for _, c := range x.changes {
-		out = append(out, c.news)
+		changes = append(changes, c.news)
 		if c.sends--; c.sends > 0 {
-			kept = append(kept, c)
+			keptChanges = append(keptChanges, c)
 		}
 	}
-	x.changes = kept
-	return out
+	x.changes = keptChanges
+	var parts []*arbutuspb.HeldParts
+	keptParts := x.parts[:0]
+	for _, h := range x.parts {
+		parts = append(parts, h.news)
+		if h.sends--; h.sends > 0 {
+			keptParts = append(keptParts, h)
+		}
+	}
+	x.parts = keptParts
+	return changes, parts
 }
 
 // copies returns the objects that a router with these positions lacks.
@@ -88,6 +105,11 @@
 			Fingerprint: s.GetFingerprint(), Endpoint: s.GetEndpoint(), Age: time.Duration(s.GetAgeMs()) * time.Millisecond,
 		})
 	}
+	held := make([]selection.Held, 0, len(in.GetParts()))
+	for _, h := range in.GetParts() {
+		held = append(held, selection.Held{Endpoint: h.GetEndpoint(), Weights: h.GetWeights(), Keys: h.GetKeys()})
+	}
+	x.relay.RemoteParts(held)
 	for _, c := range in.GetChanges() {
 		x.take(c)
 	}
@@ -109,6 +131,6 @@
 		return
 	}
 	if e := x.directory.View().ByID[c.GetEndpoint()]; e != nil && e.Weights[c.GetModel()] < c.GetVersion() {
-		x.relay.Swapping(c.GetEndpoint())
+		x.relay.Swapping(c.GetEndpoint(), c.GetModel(), c.GetVersion())
 	}
 }
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -58,13 +58,15 @@
 	broken
 	// hung is broken after no answer came in time.
 	hung
+	// moved means that the router ended the try to go on elsewhere.
+	moved
 	// callerLeft means that the caller closed its connection.
 	callerLeft
 )
 
 var resultNames = map[resultKind]string{
 	done: "done", unsent: "unreachable", refused: "refused_by_endpoint", failed: "endpoint_error", broken: "broken",
-	hung: "no_answer", callerLeft: "caller_left",
+	hung: "no_answer", moved: "moved", callerLeft: "caller_left",
 }
 
 // result is the end of one try.
@@ -244,8 +246,10 @@
 // try sends the job to the chosen endpoint.
 func (x *execution) try(ctx context.Context, c selection.Choice) result {
 	t := &try{execution: x, choice: c, parent: ctx}
-	ctx, t.cancel = context.WithCancel(ctx)
-	defer t.cancel()
+	ctx, t.cancel = context.WithCancelCause(ctx)
+	defer t.cancel(nil)
+	x.relay.track(t, true)
+	defer x.relay.track(t, false)
 	res := t.run(ctx)
 	t.ended(res)
 	return res
@@ -263,6 +267,11 @@
 	return a
 }
 
+// movable reports whether the job may leave its endpoint for another one.
+func (x *execution) movable() bool {
+	return x.job.Route.Kind == fleet.Stream && x.job.Route.Repeatable() && x.tries < x.job.Route.MaxAttempts
+}
+
 func (x *execution) upstreamRequest(c selection.Choice) *upstream.Request {
 	r := &upstream.Request{
 		Method: x.job.Method, URI: x.job.URI, Host: x.job.Host, Body: x.job.Body,
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -60,6 +60,8 @@
 	strikes  *strikes.Table
 	budgets  map[string]*budget.Retry
 	loads    map[string]remoteLoad
+	// live holds the tries under way by endpoint.
+	live map[string]map[*try]bool
 
 	metrics metrics
 }
@@ -82,6 +84,7 @@
 	r.log = k.Log.WithField("module", Name)
 	r.origin = time.Now()
 	r.strikes, r.budgets, r.loads = strikes.New(), map[string]*budget.Retry{}, map[string]remoteLoad{}
+	r.live = map[string]map[*try]bool{}
 	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
 	if err != nil {
 		return err
@@ -99,7 +102,7 @@
 	}
 	r.zone = n.Zone
 	r.selector = selection.New(selection.Config{
-		PrefillTokensPerMs: r.PrefillTokensPerMs, RereadFactor: rereadFactor, RunCost: runCost, ZoneCost: zoneCost,
+		PrefillTokensPerMs: r.PrefillTokensPerMs, FetchTokensPerMs: fetchTokensPerMs, RereadFactor: rereadFactor, RunCost: runCost, ZoneCost: zoneCost,
 		OldWeightsCost: oldWeightsCost, OldWeightsGrace: oldWeightsGrace, FailureCost: failureCost,
 		ServiceTime: serviceTime, PartLife: partLife, MaxParts: maxParts,
 	}, r.zone)
@@ -111,6 +114,9 @@
 	// rereadFactor weighs the reading of shared parts against other work:
 	// reading them again also delays every request behind.
 	rereadFactor = 2
+	// fetchTokensPerMs is half the rate of an engine's link, for transfers that
+	// wait for others or cross an availability zone.
+	fetchTokensPerMs = 120
 	// runCost is the growth of an engine's step with one more request.
 	runCost = 300 * time.Microsecond
 	// zoneCost is a round trip between availability zones.
@@ -173,6 +179,22 @@
 	r.selector.RemoteLoads(all)
 }
 
+// NewParts returns the prompt parts that endpoints have read for this router
+// since the last call.
+func (r *Relay) NewParts() []selection.Held {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.selector.NewParts()
+}
+
+// RemoteParts takes the prompt parts that endpoints have read for another
+// router.
+func (r *Relay) RemoteParts(held []selection.Held) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.selector.RemoteParts(r.now(), held)
+}
+
 // Strikes returns strikes that other routers may not know.
 func (r *Relay) Strikes(most int) []strikes.Strike {
 	r.mu.Lock()
@@ -190,11 +212,60 @@
 }
 
 // Swapping keeps requests away from an endpoint that is about to change its
-// weights.
-func (r *Relay) Swapping(endpoint string) {
+// weights, and moves the streams there that may go on elsewhere.
+func (r *Relay) Swapping(endpoint, model string, version uint64) {
+	elsewhere := r.serves(endpoint, model, version)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.selector.Swapping(r.now(), endpoint)
+	if !r.selector.Swapping(r.now(), endpoint) || !elsewhere {
+		return
+	}
+	for t := range r.live[endpoint] {
+		if t.movable() {
+			t.cancel(errMoved)
+		}
+	}
+}
+
+// serves reports whether an endpoint other than the given one of the same
+// service has the weights.
+func (r *Relay) serves(endpoint, model string, version uint64) bool {
+	v := r.directory.View()
+	e := v.ByID[endpoint]
+	if e == nil {
+		return false
+	}
+	for _, other := range v.ByService[e.Service] {
+		if other.ID != endpoint && other.State == fleet.Ready && other.Weights[model] >= version {
+			return true
+		}
+	}
+	return false
+}
+
+// Running returns the requests that all routers have at an endpoint.
+func (r *Relay) Running(endpoint string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.selector.Running(endpoint)
+}
+
+// track notes a try under way, or its end.
+func (r *Relay) track(t *try, live bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := t.choice.Endpoint.ID
+	if live {
+		if r.live[id] == nil {
+			r.live[id] = map[*try]bool{}
+		}
+		r.live[id][t] = true
+		return
+	}
+	delete(r.live[id], t)
+	if len(r.live[id]) == 0 {
+		delete(r.live, id)
+	}
 }
 
 // Swapped lets requests through to an endpoint that has changed its weights.
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -20,7 +20,11 @@
 // goes on elsewhere. Callers leave after two seconds.
 const streamGap = 1200 * time.Millisecond
 
-var errIncomplete = errors.New("stream ended inside an event")
+var (
+	errMoved      = errors.New("endpoint changes its weights")
+	errNoAnswer   = errors.New("no answer in time")
+	errIncomplete = errors.New("stream ended inside an event")
+)
 
 // try is one job at one endpoint.
 type try struct {
@@ -28,10 +32,10 @@
 	choice selection.Choice
 	// parent is the job's context; the try's own also ends with its timer.
 	parent context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	timer  *time.Timer
-	// read means that the endpoint has read the prompt.
-	read bool
+	// settled means that the selector knows whether the prompt was read.
+	settled bool
 }
 
 // cacheNamespace separates the prompt parts of weights versions and of teams
@@ -44,7 +48,7 @@
 
 func (t *try) run(ctx context.Context) result {
 	if p := t.patience(); p > 0 {
-		t.timer = time.AfterFunc(p, t.cancel)
+		t.timer = time.AfterFunc(p, func() { t.cancel(errNoAnswer) })
 		defer t.timer.Stop()
 	}
 	answer, err := t.relay.upstream.Do(ctx, t.choice.Endpoint.Address, t.upstreamRequest(t.choice))
@@ -82,6 +86,8 @@
 		return result{kind: callerLeft, err: err}
 	case errors.Is(err, upstream.ErrNotSent):
 		return result{kind: unsent, err: err}
+	case errors.Is(context.Cause(ctx), errMoved):
+		return result{kind: moved, err: errMoved}
 	case ctx.Err() != nil:
 		return result{kind: hung, err: err}
 	}
@@ -113,7 +119,7 @@
 		return t.fault(ctx, err)
 	}
 	res := result{status: answer.Status, header: answer.Header, body: body}
-	t.prompted()
+	t.prompted(answer.Status < http.StatusBadRequest)
 	if answer.Status >= http.StatusInternalServerError {
 		res.kind = failed
 		return res
@@ -176,21 +182,22 @@
 
 // progress notes that an event arrived and restarts the limit on pauses.
 func (t *try) progress() {
-	t.prompted()
+	t.prompted(true)
 	if t.timer != nil {
 		t.timer.Reset(streamGap)
 	}
 }
 
-// prompted notes that the endpoint has read the prompt.
-func (t *try) prompted() {
-	if t.read {
+// prompted notes that the endpoint has read the prompt or, when read is false,
+// that it will not.
+func (t *try) prompted(read bool) {
+	if t.settled {
 		return
 	}
-	t.read = true
+	t.settled = true
 	t.relay.mu.Lock()
 	defer t.relay.mu.Unlock()
-	t.relay.selector.FirstEvent(t.request(), t.choice)
+	t.relay.selector.FirstEvent(t.request(), t.choice, read)
 }
 
 // begin sends the head of a stream's answer. A stream that goes on at another
@@ -214,7 +221,7 @@
 
 // ended tells the selector how the try ended.
 func (t *try) ended(res result) {
-	t.prompted()
+	t.prompted(false)
 	outcome := selection.Good
 	switch res.kind {
 	case unsent, hung:
@@ -223,7 +230,7 @@
 		outcome = selection.Failed
 	case refused:
 		outcome = selection.Refused
-	case callerLeft:
+	case callerLeft, moved:
 		outcome = selection.Neutral
 	}
 	r := t.relay
--- a/modules/upgrade/upgrade.go
+++ b/modules/upgrade/upgrade.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sort"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 	"github.com/arbutusline/arbutusline/modules/directory"
 	"github.com/arbutusline/arbutusline/modules/exchange"
 	"github.com/arbutusline/arbutusline/modules/node"
+	"github.com/arbutusline/arbutusline/modules/relay"
 	"github.com/arbutusline/arbutusline/modules/upstream"
 	"github.com/arbutusline/arbutusline/platform"
 	"github.com/arbutusline/arbutusline/settings"
@@ -48,10 +50,11 @@
 	// staggerStep and staggerRanks spread the takeover from an idle holder.
 	staggerStep  = 300 * time.Millisecond
 	staggerRanks = 8
-	// concurrentShare is the part of a service's engines that change their
-	// weights at once: loads slow each other down beyond about a sixth.
-	concurrentShare = 5
-	minConcurrent   = 2
+	// concurrentShare is the part of a service's engines, in percent, that change
+	// their weights at once. Loads slow each other down beyond about a fifth, and
+	// as many engines wait for their running requests to end.
+	concurrentShare = 28
+	minConcurrent   = 3
 )
 
 func init() {
@@ -70,6 +73,7 @@
 	log       *logrus.Entry
 	directory *directory.Directory
 	exchange  *exchange.Exchange
+	relay     *relay.Relay
 	upstream  *upstream.Client
 	store     *platform.Store
 	cancel    context.CancelFunc
@@ -109,6 +113,9 @@
 	if u.exchange, err = arbutusline.Lookup[*exchange.Exchange](k, exchange.Name); err != nil {
 		return err
 	}
+	if u.relay, err = arbutusline.Lookup[*relay.Relay](k, relay.Name); err != nil {
+		return err
+	}
 	if u.upstream, err = arbutusline.Lookup[*upstream.Client](k, upstream.Name); err != nil {
 		return err
 	}
@@ -255,7 +262,7 @@
 			continue
 		}
 		endpoints := v.ByService[name]
-		room := max(minConcurrent, len(endpoints)/concurrentShare)
+		room := max(minConcurrent, len(endpoints)*concurrentShare/100)
 		var need []step
 		for _, e := range endpoints {
 			for model, version := range e.Weights {
@@ -270,6 +277,10 @@
 				need = append(need, s)
 			}
 		}
+		// Engines with the least work are empty first.
+		sort.Slice(need, func(i, j int) bool {
+			return u.relay.Running(need[i].endpoint.ID) < u.relay.Running(need[j].endpoint.ID)
+		})
 		out = append(out, need[:min(len(need), max(0, room))]...)
 	}
 	return out
--- a/process/process.go
+++ b/process/process.go
@@ -85,6 +85,13 @@
 func run(kernel *arbutusline.Kernel, stopTimeout time.Duration) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			kernel.Reload()
+		}
+	}()
 	if err := kernel.Start(context.Background()); err != nil {
 		return err
 	}
