--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -36,6 +36,8 @@
 	retryMost  = 1500 * time.Millisecond
 	// batchEndpoints lets several changes of endpoints come in one answer.
 	batchEndpoints = 150 * time.Millisecond
+	// turn is the time between the ends of two routers' watches.
+	turn = time.Second
 	// returnGrace is how long an endpoint stays in use whose entry lapsed while
 	// the store was away; live endpoints are back within about 2 s.
 	returnGrace = 2300 * time.Millisecond
@@ -80,6 +82,8 @@
 	outage   bool
 	returned time.Time
 	watchers []func(*fleet.View)
+	rank     int
+	routers  int
 
 	calls  *prometheus.CounterVec
 	times  *prometheus.HistogramVec
@@ -214,9 +218,12 @@
 	wait := retryFirst
 	for ctx.Err() == nil {
 		revision, err := d.list(ctx, kind)
+		first := true
 		for err == nil && ctx.Err() == nil {
 			wait = retryFirst
-			revision, err = d.watch(ctx, kind, revision)
+			since := revision
+			revision, err = d.watch(ctx, kind, revision, d.watchWait(kind, first))
+			first = revision != since
 		}
 		if ctx.Err() != nil {
 			return
@@ -249,11 +256,36 @@
 	return revision, nil
 }
 
-func (d *Directory) watch(ctx context.Context, kind string, since uint64) (uint64, error) {
+// watchWait returns how long a watch waits. A watch may hear nothing of a change
+// when the store drops its history, so the routers let theirs end by turns, one
+// a second: one of them asks again and tells the others. First is true after a
+// change, when the watches of all routers begin together.
+func (d *Directory) watchWait(kind string, first bool) time.Duration {
+	if kind == KindRouters {
+		return d.WatchWait.D()
+	}
+	d.mu.Lock()
+	rank, routers := d.rank, max(1, d.routers)
+	d.mu.Unlock()
+	if first {
+		return min(d.WatchWait.D(), turn*time.Duration(rank+1))
+	}
+	return min(d.WatchWait.D(), turn*time.Duration(routers))
+}
+
+// SetRank tells the directory that this router is the one with that rank, from
+// 0, among the routers that reach each other.
+func (d *Directory) SetRank(rank, routers int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rank, d.routers = rank, routers
+}
+
+func (d *Directory) watch(ctx context.Context, kind string, since uint64, wait time.Duration) (uint64, error) {
 	if kind == platform.KindEndpoints {
 		pause(ctx, batchEndpoints)
 	}
-	changes, revision, err := d.store.Watch(ctx, kind, since, d.WatchWait.D())
+	changes, revision, err := d.store.Watch(ctx, kind, since, wait)
 	if err != nil {
 		return since, err
 	}
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -234,6 +234,7 @@
 			ready = append(ready, p)
 		}
 	}
+	x.directory.SetRank(x.rank())
 	rand.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
 	if !all {
 		ready = ready[:min(len(ready), x.Fanout)]
@@ -244,6 +245,22 @@
 	return ready
 }
 
+// rank returns the position of this router among those that answer, by address.
+// The caller holds mu.
+func (x *Exchange) rank() (rank, routers int) {
+	routers = 1
+	for address, p := range x.peers {
+		if p.lost || p.misses > 0 {
+			continue
+		}
+		routers++
+		if address < x.self {
+			rank++
+		}
+	}
+	return rank, routers
+}
+
 // peer adds a router unless it is known or this one. The caller holds mu.
 func (x *Exchange) peer(address string) {
 	if address == "" || address == x.self || x.peers[address] != nil {
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -24,6 +24,9 @@
 	// holdShare is the part of the latency objective for which a job waits for
 	// an endpoint before it is refused.
 	holdShare = 8
+	// startedHold is how long a stream that has begun waits for an endpoint;
+	// callers leave after a pause of two seconds.
+	startedHold = time.Second
 	// holdStep is the time between two looks for an endpoint.
 	holdStep = 10 * time.Millisecond
 	// retryAfter tells callers when to come back: weights change and endpoints
@@ -76,6 +79,8 @@
 	header http.Header
 	body   []byte
 	err    error
+	// reserved means that the next try is paid for.
+	reserved bool
 }
 
 // execution is one job on its way.
@@ -200,6 +205,9 @@
 	switch x.last.kind {
 	case unsent:
 		return x.unsent < maxUnsent
+	case moved, hung:
+		// The retry was taken from the budget before the try was ended.
+		return x.last.reserved
 	case refused:
 		return x.refused <= maxRefused && x.relay.allowRetry(x.job.Service)
 	}
@@ -211,6 +219,9 @@
 // none may take the job.
 func (x *execution) place(ctx context.Context) (selection.Choice, bool) {
 	limit := time.Now().Add(x.job.Route.LatencyObjective / holdShare)
+	if x.started {
+		limit = time.Now().Add(startedHold)
+	}
 	for ctx.Err() == nil {
 		if c, ok := x.choose(); ok {
 			return c, true
@@ -262,11 +273,24 @@
 	}
 	if x.job.Prompt != nil {
 		a.Namespace, a.Weights = cacheNamespace(c.Weights, x.job.namespace()), c.Weights
-		a.FetchFrom = c.FetchFrom
+		x.addCacheSources(a, c)
 	}
 	return a
 }
 
+// addCacheSources names where the endpoint can get parts that it lacks, and the
+// KV store for parts that are read for the first time.
+func (x *execution) addCacheSources(a *platform.Attempt, c selection.Choice) {
+	store := x.relay.cacheStoreAddress()
+	a.FetchFrom = c.FetchFrom
+	if a.FetchFrom == "" {
+		a.FetchFrom = store
+		if c.CachedTokens < x.job.Prompt.SharedTokens() {
+			a.SaveTo = store
+		}
+	}
+}
+
 // movable reports whether the job may leave its endpoint for another one.
 func (x *execution) movable() bool {
 	return x.job.Route.Kind == fleet.Stream && x.job.Route.Repeatable() && x.tries < x.job.Route.MaxAttempts
@@ -297,7 +321,7 @@
 	case x.last.kind == failed:
 		x.passOn(x.last)
 		x.report.Outcome = OutcomeError
-	case x.ran > 0 && ctx.Err() != nil || x.last.kind == hung:
+	case x.ran > 0 && ctx.Err() != nil, x.last.kind == hung:
 		x.answer(http.StatusGatewayTimeout, 0)
 		x.report.Outcome = OutcomeTimeout
 	case x.ran > 0:
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,6 +55,10 @@
 	upstream  *upstream.Client
 	zone      string
 	origin    time.Time
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
+	// cacheStoreDown is true while the KV store does not take connections.
+	cacheStoreDown atomic.Bool
 
 	mu       sync.Mutex
 	selector *selection.Selector
@@ -215,13 +220,16 @@
 // weights, and moves the streams there that may go on elsewhere.
 func (r *Relay) Swapping(endpoint, model string, version uint64) {
 	elsewhere := r.serves(endpoint, model, version)
+	routers := len(r.directory.Routers()) + 1
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.selector.Swapping(r.now(), endpoint) || !elsewhere {
 		return
 	}
 	for t := range r.live[endpoint] {
-		if t.movable() {
+		// The retry is paid for first: a stream that was cut off without one
+		// could not go on.
+		if t.movable() && r.budget(t.job.Service, routers).Allow(r.now()) {
 			t.cancel(errMoved)
 		}
 	}
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -48,7 +48,7 @@
 
 func (t *try) run(ctx context.Context) result {
 	if p := t.patience(); p > 0 {
-		t.timer = time.AfterFunc(p, func() { t.cancel(errNoAnswer) })
+		t.timer = time.AfterFunc(p, t.silent)
 		defer t.timer.Stop()
 	}
 	answer, err := t.relay.upstream.Do(ctx, t.choice.Endpoint.Address, t.upstreamRequest(t.choice))
@@ -79,6 +79,13 @@
 	return time.Duration(patienceFactor * float64(t.job.Route.LatencyObjective))
 }
 
+// silent ends the try after a silence if the job may be tried elsewhere.
+func (t *try) silent() {
+	if t.relay.allowRetry(t.job.Service) {
+		t.cancel(errNoAnswer)
+	}
+}
+
 // fault tells what an exchange that failed means for the job.
 func (t *try) fault(ctx context.Context, err error) result {
 	switch {
@@ -87,7 +94,9 @@
 	case errors.Is(err, upstream.ErrNotSent):
 		return result{kind: unsent, err: err}
 	case errors.Is(context.Cause(ctx), errMoved):
-		return result{kind: moved, err: errMoved}
+		return result{kind: moved, err: errMoved, reserved: true}
+	case errors.Is(context.Cause(ctx), errNoAnswer):
+		return result{kind: hung, err: errNoAnswer, reserved: true}
 	case ctx.Err() != nil:
 		return result{kind: hung, err: err}
 	}
--- a/modules/upgrade/change.go
+++ b/modules/upgrade/change.go
@@ -18,7 +18,7 @@
 	// before the order is sent: some round trips within a region.
 	announceLead = 15 * time.Millisecond
 	// pollEvery is the time between two reports while weights change.
-	pollEvery = 200 * time.Millisecond
+	pollEvery = 120 * time.Millisecond
 	// changeTimeout bounds one change; running requests end and a load takes
 	// under a second, longer when several engines load.
 	changeTimeout = 8 * time.Second
@@ -26,6 +26,10 @@
 	// is sent again.
 	repeatOrder = 800 * time.Millisecond
 	callTimeout = 600 * time.Millisecond
+	// maxMisses is the number of reports in a row without an answer after which
+	// an engine is left alone for postponeFor.
+	maxMisses   = 2
+	postponeFor = 1500 * time.Millisecond
 	// maxReportBytes bounds a report.
 	maxReportBytes = 1 << 20
 )
@@ -51,11 +55,16 @@
 	u.exchange.Announce(s.endpoint.ID, s.model, s.version, false)
 	sleep(ctx, announceLead)
 	var orderedAt time.Time
+	misses := 0
 	for ctx.Err() == nil {
 		report, err := u.report(ctx, s)
 		switch {
 		case err != nil:
 			u.log.WithError(err).WithField("endpoint", s.endpoint.ID).Info("engine does not report")
+			if misses++; misses >= maxMisses {
+				u.postpone(s)
+				return
+			}
 		case report.Weights[s.model] >= s.version && !report.Busy:
 			u.completed(s, report.Weights[s.model])
 			return
@@ -79,6 +88,13 @@
 	}
 }
 
+// postpone lets other engines go first.
+func (u *Upgrade) postpone(s step) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.postponed[s.key()] = time.Now().Add(postponeFor)
+}
+
 func (u *Upgrade) completed(s step, version uint64) {
 	u.log.WithFields(logrus.Fields{"endpoint": s.endpoint.ID, "model": s.model, "weights": version}).Info("weights changed")
 	u.exchange.Announce(s.endpoint.ID, s.model, version, true)
--- a/modules/upgrade/upgrade.go
+++ b/modules/upgrade/upgrade.go
@@ -83,6 +83,8 @@
 	lease  *lease.Machine
 	leader bool
 	active map[string]bool
+	// postponed holds the engines that do not answer, until when.
+	postponed map[string]time.Time
 
 	orders *prometheus.CounterVec
 	leads  prometheus.Gauge
@@ -94,7 +96,7 @@
 // Provision looks up the modules that it uses.
 func (u *Upgrade) Provision(k *arbutusline.Kernel) error {
 	u.log = k.Log.WithField("module", Name)
-	u.active = map[string]bool{}
+	u.active, u.postponed = map[string]bool{}, map[string]time.Time{}
 	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
 	if err != nil {
 		return err
@@ -274,7 +276,9 @@
 					room--
 					continue
 				}
-				need = append(need, s)
+				if time.Now().After(u.postponed[s.key()]) {
+					need = append(need, s)
+				}
 			}
 		}
 		// Engines with the least work are empty first.
--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -213,6 +213,16 @@
 	return newConn(c, address, nc), nil
 }
 
+// Check opens a connection to the address and closes it.
+func (c *Client) Check(ctx context.Context, address string) error {
+	d := net.Dialer{Timeout: c.DialTimeout.D()}
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "connect to %s", address)
+	}
+	return nc.Close()
+}
+
 func (c *Client) closed(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
