Remember all holders of a prompt part; log what was believed of it

Cause: only four holders of a part were kept, so that the endpoints that hold the first part of all prompts were forgotten and deeper parts were not found.

--- a/decision/selection/parts.go
+++ b/decision/selection/parts.go
@@ -15,8 +15,9 @@
 // maxNews bounds the holders that wait to be told to other routers.
 const maxNews = 1000
 
-// holdersPerPart is the number of endpoints that are remembered for a part.
-const holdersPerPart = 4
+// holdersPerPart is the number of endpoints that are remembered for a part. The
+// first parts of all prompts are held by most endpoints.
+const holdersPerPart = 64
 
 // partChain returns a key for each shared part that covers the parts before it.
 func partChain(namespace string, p *fleet.Prompt) []uint64 {
@@ -81,15 +82,6 @@
 	return partTable{max: limit, holders: map[uint64][]holder{}}
 }
 
-func (t *partTable) holds(key uint64, endpoint string, weights uint64, since time.Duration) bool {
-	for _, h := range t.holders[key] {
-		if h.endpoint == endpoint && h.weights == weights && h.used >= since {
-			return true
-		}
-	}
-	return false
-}
-
 // find returns the holder of a part at an endpoint, or nil.
 func (t *partTable) find(key uint64, endpoint string, weights uint64) *holder {
 	list := t.holders[key]
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -73,11 +73,13 @@
 	zone  string
 	state map[string]*endpointState
 	parts partTable
+	// covers is the working space of one choice.
+	covers map[string]coverage
 }
 
 // New returns a Selector of a router in the availability zone.
 func New(cfg Config, zone string) *Selector {
-	return &Selector{cfg: cfg, zone: zone, state: map[string]*endpointState{}, parts: newPartTable(cfg.MaxParts)}
+	return &Selector{cfg: cfg, zone: zone, state: map[string]*endpointState{}, parts: newPartTable(cfg.MaxParts), covers: map[string]coverage{}}
 }
 
 // Select chooses an endpoint of the request's service, or returns false when
@@ -90,7 +92,8 @@
 	var src source
 	if r.Prompt != nil {
 		chain = partChain(r.Namespace, r.Prompt)
-		src = s.source(now, v, r, chain)
+		s.cover(now, chain, r.Prompt)
+		src = s.source(now, v, r)
 	}
 	for _, e := range v.ByService[r.Service] {
 		if e.State != fleet.Ready || contains(r.Exclude, e.ID) {
@@ -123,7 +126,9 @@
 	if named := v.Weights[model]; c.Weights < named && wall.Sub(v.Named[model]) > s.cfg.OldWeightsGrace {
 		cost += s.cfg.OldWeightsCost
 	}
-	c.CachedTokens = s.cached(now, chain, r.Prompt, e.ID, c.Weights)
+	if held := s.covers[e.ID]; held.weights == c.Weights {
+		c.CachedTokens = held.tokens
+	}
 	own := r.Prompt.InputTokens - r.Prompt.SharedTokens()
 	missing := r.Prompt.SharedTokens() - c.CachedTokens
 	if fetched := src.tokens - c.CachedTokens; src.address != "" && src.weights == c.Weights && fetched >= minFetchTokens {
@@ -143,17 +148,39 @@
 	return time.Duration(tokens / s.cfg.PrefillTokensPerMs * float64(time.Millisecond))
 }
 
-// cached returns the tokens of the leading shared parts that the endpoint is
-// believed to hold under the weights version.
-func (s *Selector) cached(now time.Duration, chain []uint64, p *fleet.Prompt, endpoint string, weights uint64) int {
-	n := 0
+// coverage is what an endpoint is believed to hold of a prompt's shared parts.
+type coverage struct {
+	weights uint64
+	// tokens counts the leading parts that it holds or is reading, read those
+	// that it has read.
+	tokens, read int
+}
+
+// cover fills s.covers with the endpoints that hold shared parts of the prompt.
+// An endpoint that holds a part holds those before it.
+func (s *Selector) cover(now time.Duration, chain []uint64, p *fleet.Prompt) {
+	clear(s.covers)
+	since := now - s.cfg.PartLife
+	tokens := 0
 	for i, key := range chain {
-		if !s.parts.holds(key, endpoint, weights, now-s.cfg.PartLife) {
-			break
+		tokens += p.Parts[i].Tokens
+		for _, h := range s.parts.holders[key] {
+			if h.used < since {
+				continue
+			}
+			c := s.covers[h.endpoint]
+			if h.weights > c.weights {
+				c = coverage{weights: h.weights}
+			}
+			if h.weights == c.weights {
+				c.tokens = tokens
+				if h.read {
+					c.read = tokens
+				}
+			}
+			s.covers[h.endpoint] = c
 		}
-		n += p.Parts[i].Tokens
 	}
-	return n
 }
 
 // source is an endpoint from which others can fetch parts.
@@ -165,41 +192,25 @@
 
 // source returns the endpoint that has read the most of the prompt's shared
 // parts under the newest weights that any such endpoint serves.
-func (s *Selector) source(now time.Duration, v *fleet.View, r *Request, chain []uint64) source {
+func (s *Selector) source(now time.Duration, v *fleet.View, r *Request) source {
 	var best source
-	if len(chain) == 0 {
-		return best
-	}
-	for _, h := range s.parts.holders[chain[0]] {
-		e := v.ByID[h.endpoint]
-		if e == nil || !h.read || h.used < now-s.cfg.PartLife || e.Weights[r.Prompt.Model] != h.weights {
+	var bestID string
+	for id, c := range s.covers {
+		e := v.ByID[id]
+		if e == nil || c.read == 0 || e.Weights[r.Prompt.Model] != c.weights {
 			continue
 		}
-		if st := s.endpoint(e.ID); st.swapping(now) || st.suspensions > 0 {
+		if st := s.endpoint(id); st.swapping(now) || st.suspensions > 0 {
 			continue
 		}
-		n := s.readTokens(now, chain, r.Prompt, e.ID, h.weights)
-		if h.weights > best.weights || h.weights == best.weights && n > best.tokens {
-			best = source{e.Address, h.weights, n}
+		better := c.weights > best.weights || c.weights == best.weights && c.read > best.tokens
+		if same := c.weights == best.weights && c.read == best.tokens; better || same && id < bestID {
+			best, bestID = source{e.Address, c.weights, c.read}, id
 		}
 	}
 	return best
 }
 
-// readTokens returns the tokens of the leading shared parts that the endpoint
-// has finished reading.
-func (s *Selector) readTokens(now time.Duration, chain []uint64, p *fleet.Prompt, endpoint string, weights uint64) int {
-	n := 0
-	for i, key := range chain {
-		h := s.parts.find(key, endpoint, weights)
-		if h == nil || !h.read || h.used < now-s.cfg.PartLife {
-			break
-		}
-		n += p.Parts[i].Tokens
-	}
-	return n
-}
-
 // minFetchTokens is the least gain for which parts are fetched: below it the
 // set-up of a transfer takes longer than reading the tokens.
 const minFetchTokens = 512
--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -307,6 +307,9 @@
 		"request": job.ID, "route": job.Route.Name, "team": teamName(job), "outcome": r.Outcome, "tries": r.Tries,
 		"endpoint": r.Endpoint, "first_ms": r.First.Milliseconds(), "took_ms": time.Since(job.Arrived).Milliseconds(),
 	})
+	if r.SharedTokens > 0 {
+		entry = entry.WithFields(logrus.Fields{"cached": r.CachedTokens, "shared": r.SharedTokens, "fetch_from": r.FetchFrom})
+	}
 	if r.Reason != "" {
 		entry = entry.WithField("reason", r.Reason)
 	}
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -138,7 +138,7 @@
 			return
 		}
 		x.tries++
-		x.report.Tries, x.report.Endpoint = x.tries, choice.Endpoint.ID
+		x.chosen(choice)
 		x.last = x.try(ctx, choice)
 		if x.last.kind == done || x.last.kind == callerLeft {
 			x.finish()
@@ -154,6 +154,15 @@
 	}
 }
 
+// chosen notes a choice for the report.
+func (x *execution) chosen(c selection.Choice) {
+	x.report.Tries, x.report.Endpoint = x.tries, c.Endpoint.ID
+	x.report.CachedTokens, x.report.FetchFrom = c.CachedTokens, c.FetchFrom
+	if x.job.Prompt != nil {
+		x.report.SharedTokens = x.job.Prompt.SharedTokens()
+	}
+}
+
 func (x *execution) finish() {
 	x.report.Outcome = OutcomeServed
 	if x.last.kind == callerLeft {
@@ -283,11 +292,8 @@
 func (x *execution) addCacheSources(a *platform.Attempt, c selection.Choice) {
 	store := x.relay.cacheStoreAddress()
 	a.FetchFrom = c.FetchFrom
-	if a.FetchFrom == "" {
-		a.FetchFrom = store
-		if c.CachedTokens < x.job.Prompt.SharedTokens() {
-			a.SaveTo = store
-		}
+	if a.FetchFrom == "" && c.CachedTokens < x.job.Prompt.SharedTokens() {
+		a.FetchFrom, a.SaveTo = store, store
 	}
 }
 
--- a/modules/relay/job.go
+++ b/modules/relay/job.go
@@ -93,6 +93,11 @@
 	// Tries counts the endpoints that the job was sent to.
 	Tries    int
 	Endpoint string
+	// CachedTokens, SharedTokens and FetchFrom are what was believed of the
+	// prompt when the endpoint was chosen.
+	CachedTokens int
+	SharedTokens int
+	FetchFrom    string
 	// First is the time to the answer or first event, 0 when there was none.
 	First time.Duration
 	// Incomplete means that the caller's connection must be closed, because
