Follow the cache events of engines

Cause: the router believed parts to be cached that engines had evicted (104,000 tokens of memory turn over in about six seconds under load), so they were read again although another engine held them. Each engine is now followed by up to five routers.

--- a/cmd/arbutus-front/main.go
+++ b/cmd/arbutus-front/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/arbutusline/arbutusline/modules/admin"
+	"github.com/arbutusline/arbutusline/modules/cacheevents"
 	"github.com/arbutusline/arbutusline/modules/directory"
 	"github.com/arbutusline/arbutusline/modules/exchange"
 	"github.com/arbutusline/arbutusline/modules/grpcserver"
@@ -21,5 +22,5 @@
 func main() {
 	os.Exit(process.Main("arbutus-front", "Routes callers' requests to endpoints without agents.",
 		logging.Name, node.Name, admin.Name, grpcserver.Name, upstream.Name, directory.Name,
-		relay.Name, exchange.Name, upgrade.Name, ingress.Name))
+		relay.Name, cacheevents.Name, exchange.Name, upgrade.Name, ingress.Name))
 }
--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -77,7 +77,7 @@
 		return
 	}
 	st.unread += r.Prompt.InputTokens - c.CachedTokens
-	for _, key := range partChain(r.Namespace, r.Prompt) {
+	for _, key := range partKeys(r.Namespace, r.Prompt) {
 		s.parts.used(key, c.Endpoint.ID, c.Weights, now)
 	}
 }
@@ -93,7 +93,7 @@
 	if !read {
 		return
 	}
-	for _, key := range partChain(r.Namespace, r.Prompt) {
+	for _, key := range partKeys(r.Namespace, r.Prompt) {
 		s.parts.finished(key, c.Endpoint.ID, c.Weights)
 	}
 }
@@ -116,6 +116,14 @@
 	return out
 }
 
+// CacheEvent takes an engine's own word for what it holds of a part.
+func (s *Selector) CacheEvent(endpoint string, key, weights uint64, tokens int) {
+	s.parts.event(key, endpoint, weights, tokens)
+}
+
+// CacheCleared forgets what an endpoint held, after it started again.
+func (s *Selector) CacheCleared(endpoint string) { s.parts.drop(endpoint) }
+
 // RemoteParts takes the parts that endpoints have read for another router.
 func (s *Selector) RemoteParts(now time.Duration, held []Held) {
 	for _, h := range held {
--- a/decision/selection/parts.go
+++ b/decision/selection/parts.go
@@ -19,18 +19,21 @@
 // first parts of all prompts are held by most endpoints.
 const holdersPerPart = 64
 
-// partChain returns a key for each shared part that covers the parts before it.
-func partChain(namespace string, p *fleet.Prompt) []uint64 {
+// partKeys returns the keys of the shared parts.
+func partKeys(namespace string, p *fleet.Prompt) []uint64 {
 	n := max(0, len(p.Parts)-1)
 	out := make([]uint64, 0, n)
-	h := xxhash.Sum64String(namespace + "\x00" + p.Model)
 	for _, part := range p.Parts[:n] {
-		h = mix(h ^ mix(part.ID))
-		out = append(out, h)
+		out = append(out, PartKey(namespace, p.Model, part.ID))
 	}
 	return out
 }
 
+// PartKey identifies a part within a namespace and model.
+func PartKey(namespace, model string, id uint64) uint64 {
+	return mix(xxhash.Sum64String(namespace+"\x00"+model) ^ mix(id))
+}
+
 func mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
@@ -56,8 +59,13 @@
 	// read means that the endpoint has finished reading the part, so that
 	// others can fetch it there.
 	read bool
+	// tokens is how much of the part the endpoint holds, or wholePart.
+	tokens int
 }
 
+// wholePart stands for all tokens of a part.
+const wholePart = 1 << 30
+
 // Held says that an endpoint holds parts that it read under a weights version.
 type Held struct {
 	Endpoint string
@@ -113,14 +121,14 @@
 			if h.weights != weights {
 				list[i].read = false
 			}
-			list[i].weights, list[i].used = weights, now
+			list[i].weights, list[i].used, list[i].tokens = weights, now, wholePart
 			return
 		}
 		if h.used < list[oldest].used {
 			oldest = i
 		}
 	}
-	h := holder{endpoint: endpoint, weights: weights, used: now}
+	h := holder{endpoint: endpoint, weights: weights, used: now, tokens: wholePart}
 	if len(list) >= holdersPerPart {
 		list[oldest] = h
 		return
@@ -143,6 +151,29 @@
 	}
 }
 
+// event takes the engine's own word for what it holds of a part. Parts that no
+// request has named are ignored: most belong to a single request.
+func (t *partTable) event(key uint64, endpoint string, weights uint64, tokens int) {
+	list, known := t.holders[key]
+	if !known {
+		return
+	}
+	for i := range list {
+		if list[i].endpoint != endpoint || list[i].weights > weights {
+			continue
+		}
+		if tokens == 0 {
+			if !list[i].read {
+				return // The part is being read again.
+			}
+			t.holders[key] = append(list[:i], list[i+1:]...)
+			return
+		}
+		list[i].tokens, list[i].weights, list[i].read = tokens, weights, true
+		return
+	}
+}
+
 func (t *partTable) drop(endpoint string) {
 	for key, list := range t.holders {
 		kept := list[:0]
@@ -151,10 +182,6 @@
 				kept = append(kept, h)
 			}
 		}
-		if len(kept) == 0 {
-			delete(t.holders, key)
-		} else {
-			t.holders[key] = kept
-		}
+		t.holders[key] = kept
 	}
 }
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -91,7 +91,7 @@
 	var chain []uint64
 	var src source
 	if r.Prompt != nil {
-		chain = partChain(r.Namespace, r.Prompt)
+		chain = partKeys(r.Namespace, r.Prompt)
 		s.cover(now, chain, r.Prompt)
 		src = s.source(now, v, r)
 	}
@@ -156,14 +156,14 @@
 	tokens, read int
 }
 
-// cover fills s.covers with the endpoints that hold shared parts of the prompt.
-// An endpoint that holds a part holds those before it.
+// cover fills s.covers with the endpoints that hold leading shared parts of the
+// prompt. A part is of use only where those before it are whole.
 func (s *Selector) cover(now time.Duration, chain []uint64, p *fleet.Prompt) {
 	clear(s.covers)
 	since := now - s.cfg.PartLife
-	tokens := 0
+	before := 0
 	for i, key := range chain {
-		tokens += p.Parts[i].Tokens
+		size := p.Parts[i].Tokens
 		for _, h := range s.parts.holders[key] {
 			if h.used < since {
 				continue
@@ -172,14 +172,15 @@
 			if h.weights > c.weights {
 				c = coverage{weights: h.weights}
 			}
-			if h.weights == c.weights {
-				c.tokens = tokens
-				if h.read {
-					c.read = tokens
+			if h.weights == c.weights && c.tokens == before {
+				c.tokens += min(size, h.tokens)
+				if h.read && c.read == before {
+					c.read += min(size, h.tokens)
 				}
 			}
 			s.covers[h.endpoint] = c
 		}
+		before += size
 	}
 }
 
--- /dev/null
+++ b/modules/cacheevents/cacheevents.go
@@ -0,0 +1,219 @@
+// Package cacheevents is the module "cache_events": it follows the cache events
+// of engines, so that the relay knows which prompt parts were evicted. An engine
+// is followed by a few routers only; the others learn of new parts by exchange.
+package cacheevents
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/modules/admin"
+	"github.com/arbutusline/arbutusline/modules/directory"
+	"github.com/arbutusline/arbutusline/modules/node"
+	"github.com/arbutusline/arbutusline/modules/relay"
+	"github.com/arbutusline/arbutusline/modules/upstream"
+	"github.com/arbutusline/arbutusline/platform"
+	"github.com/arbutusline/arbutusline/settings"
+)
+
+// Name is the name of the module.
+const Name = "cache_events"
+
+const (
+	// wait is how long an engine holds a call until there are events.
+	wait = 800 * time.Millisecond
+	// callTimeout bounds a call that waits.
+	callTimeout = 2 * time.Second
+	// retryAfter is the pause after a failed call.
+	retryAfter = time.Second
+	// followers is the number of routers that follow an engine. An engine takes
+	// about a dozen of these calls at once.
+	followers = 5
+	// maxBytes bounds one answer.
+	maxBytes = 4 << 20
+)
+
+func init() {
+	arbutusline.Register(func() arbutusline.Module {
+		return &CacheEvents{Pace: settings.Duration(300 * time.Millisecond)}
+	})
+}
+
+// CacheEvents follows engines.
+type CacheEvents struct {
+	// Pace is the pause between two calls to an engine, in which events gather.
+	// Default 300ms.
+	Pace settings.Duration `json:"pace"`
+
+	log       *logrus.Entry
+	node      *node.Node
+	directory *directory.Directory
+	relay     *relay.Relay
+	upstream  *upstream.Client
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
+
+	mu       sync.Mutex
+	followed map[string]context.CancelFunc
+
+	events *prometheus.CounterVec
+}
+
+// ModuleName returns "cache_events".
+func (c *CacheEvents) ModuleName() string { return Name }
+
+// Provision looks up the modules that it uses.
+func (c *CacheEvents) Provision(k *arbutusline.Kernel) error {
+	c.log = k.Log.WithField("module", Name)
+	c.followed = map[string]context.CancelFunc{}
+	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
+	if err != nil {
+		return err
+	}
+	c.events = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_cache_events_total", Help: "Cache events of engines by result: taken, unreadable, lost, failed calls.",
+	}, []string{"result"})
+	a.Registry().MustRegister(c.events)
+	if c.node, err = arbutusline.Lookup[*node.Node](k, node.Name); err != nil {
+		return err
+	}
+	if c.directory, err = arbutusline.Lookup[*directory.Directory](k, directory.Name); err != nil {
+		return err
+	}
+	if c.upstream, err = arbutusline.Lookup[*upstream.Client](k, upstream.Name); err != nil {
+		return err
+	}
+	if c.relay, err = arbutusline.Lookup[*relay.Relay](k, relay.Name); err != nil {
+		return err
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.directory.Watch(c.onView)
+	return nil
+}
+
+// Validate checks the settings.
+func (c *CacheEvents) Validate() error {
+	if c.Pace < 0 {
+		return errors.New("pace must not be negative")
+	}
+	return nil
+}
+
+// Stop ends all calls.
+func (c *CacheEvents) Stop(context.Context) error {
+	c.cancel()
+	c.done.Wait()
+	return nil
+}
+
+// onView follows the engines that fall to this router and leaves the others.
+func (c *CacheEvents) onView(v *fleet.View) {
+	if v.Config == nil {
+		return
+	}
+	routers := []string{c.node.ID}
+	for name := range c.directory.RouterNames() {
+		routers = append(routers, name)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, e := range v.ByID {
+		service := v.Config.Services[e.Service]
+		if service == nil || service.Engine == nil || c.followed[id] != nil || !mine(c.node.ID, id, routers) {
+			continue
+		}
+		ctx, cancel := context.WithCancel(c.ctx)
+		c.followed[id] = cancel
+		c.done.Go(func() { c.follow(ctx, e) })
+	}
+	for id, cancel := range c.followed {
+		if v.ByID[id] == nil {
+			cancel()
+			delete(c.followed, id)
+		}
+	}
+}
+
+// mine reports whether a router is among the first in the rendezvous order of
+// an engine.
+func mine(self, engine string, routers []string) bool {
+	own := xxhash.Sum64String(engine + "\x00" + self)
+	before := 0
+	for _, r := range routers {
+		if xxhash.Sum64String(engine+"\x00"+r) > own {
+			before++
+		}
+	}
+	return before < followers
+}
+
+func (c *CacheEvents) follow(ctx context.Context, e *fleet.Endpoint) {
+	var epoch, next uint64
+	for ctx.Err() == nil {
+		got, err := c.call(ctx, e, next)
+		if err != nil {
+			c.events.WithLabelValues("failed").Inc()
+			pause(ctx, retryAfter)
+			continue
+		}
+		restarted := epoch != 0 && got.Epoch != epoch
+		if restarted {
+			c.log.WithFields(logrus.Fields{"endpoint": e.ID, "epoch": got.Epoch}).Info("engine started again, its cache is empty")
+		}
+		if got.Lost && next != 0 {
+			c.events.WithLabelValues("lost").Inc()
+		}
+		c.events.WithLabelValues("taken").Add(float64(len(got.Events)))
+		if epoch != 0 || len(got.Events) > 0 {
+			c.relay.CacheEvents(e.ID, got.Events, restarted)
+		}
+		epoch, next = got.Epoch, got.Next
+		pause(ctx, c.Pace.D())
+	}
+}
+
+func (c *CacheEvents) call(ctx context.Context, e *fleet.Endpoint, since uint64) (platform.CacheEvents, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := c.upstream.Do(ctx, e.Address, &upstream.Request{
+		Method: http.MethodGet, URI: platform.CacheEventsPath(since), Host: e.Address,
+		Header: platform.CacheEventsHeader(e.ID, wait),
+	})
+	if err != nil {
+		return platform.CacheEvents{}, err
+	}
+	defer func() { _ = answer.Body.Close() }() // Closing gives the connection back or drops it.
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBytes))
+	if err != nil {
+		return platform.CacheEvents{}, err
+	}
+	if answer.Status != http.StatusOK {
+		return platform.CacheEvents{}, errors.Newf("engine answered with status %d", answer.Status)
+	}
+	got, skipped, err := platform.DecodeCacheEvents(body)
+	if skipped > 0 {
+		c.events.WithLabelValues("unreadable").Add(float64(skipped))
+	}
+	return got, err
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d*3/4 + rand.N(d/2+1))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -256,6 +256,18 @@
 	}
 }
 
+// RouterNames returns the names of the other routers that have registered. It
+// may be called from a function given to Watch.
+func (d *Directory) RouterNames() map[string]bool {
+	out := map[string]bool{}
+	for _, e := range d.copies[KindRouters].Entries() {
+		if e.Name != d.node.ID {
+			out[e.Name] = true
+		}
+	}
+	return out
+}
+
 // Routers returns the other routers that have registered.
 func (d *Directory) Routers() map[string]Router {
 	d.mu.Lock()
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/arbutusline/arbutusline/modules/directory"
 	"github.com/arbutusline/arbutusline/modules/node"
 	"github.com/arbutusline/arbutusline/modules/upstream"
+	"github.com/arbutusline/arbutusline/platform"
 	"github.com/arbutusline/arbutusline/settings"
 )
 
@@ -200,6 +201,23 @@
 	r.selector.RemoteParts(r.now(), held)
 }
 
+// CacheEvents takes an engine's own word for what it holds. Restarted means that
+// its cache was empty before the events.
+func (r *Relay) CacheEvents(endpoint string, events []platform.CacheEvent, restarted bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if restarted {
+		r.selector.CacheCleared(endpoint)
+	}
+	for _, e := range events {
+		weights, team, ok := splitNamespace(e.Namespace)
+		if !ok {
+			continue // The part was not read for this system.
+		}
+		r.selector.CacheEvent(endpoint, selection.PartKey(team, e.Model, e.PartID), weights, e.Tokens)
+	}
+}
+
 // Strikes returns strikes that other routers may not know.
 func (r *Relay) Strikes(most int) []strikes.Strike {
 	r.mu.Lock()
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,13 @@
 	return strconv.FormatUint(weights, 10) + "/" + team
 }
 
+// splitNamespace is the inverse of cacheNamespace.
+func splitNamespace(namespace string) (weights uint64, team string, ok bool) {
+	number, team, ok := strings.Cut(namespace, "/")
+	weights, err := strconv.ParseUint(number, 10, 64)
+	return weights, team, ok && err == nil
+}
+
 func lengthOf(b []byte) string { return strconv.Itoa(len(b)) }
 
 func (t *try) run(ctx context.Context) result {
