--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -117,8 +117,8 @@
 }
 
 // CacheEvent takes an engine's own word for what it holds of a part.
-func (s *Selector) CacheEvent(endpoint string, key, weights uint64, tokens int) {
-	s.parts.event(key, endpoint, weights, tokens)
+func (s *Selector) CacheEvent(now time.Duration, endpoint string, key, weights uint64, tokens int) {
+	s.parts.event(now, key, endpoint, weights, tokens)
 }
 
 // CacheCleared forgets what an endpoint held, after it started again.
--- a/decision/selection/parts.go
+++ b/decision/selection/parts.go
@@ -153,7 +153,7 @@
 
 // event takes the engine's own word for what it holds of a part. Parts that no
 // request has named are ignored: most belong to a single request.
-func (t *partTable) event(key uint64, endpoint string, weights uint64, tokens int) {
+func (t *partTable) event(now time.Duration, key uint64, endpoint string, weights uint64, tokens int) {
 	list, known := t.holders[key]
 	if !known {
 		return
@@ -169,9 +169,12 @@
 			t.holders[key] = append(list[:i], list[i+1:]...)
 			return
 		}
-		list[i].tokens, list[i].weights, list[i].read = tokens, weights, true
+		list[i].tokens, list[i].weights, list[i].read, list[i].used = tokens, weights, true, now
 		return
 	}
+	if tokens > 0 && len(list) < holdersPerPart {
+		t.holders[key] = append(list, holder{endpoint: endpoint, weights: weights, used: now, read: true, tokens: tokens})
+	}
 }
 
 func (t *partTable) drop(endpoint string) {
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -65,6 +65,9 @@
 	// FetchFrom is the address of another endpoint that holds more of the
 	// prompt's shared parts, empty when there is none.
 	FetchFrom string
+	// SaveTo is the address of the KV store when it lacks some of the prompt's
+	// shared parts, empty otherwise.
+	SaveTo string
 }
 
 // Selector holds what the router knows of endpoints beyond their entries.
@@ -75,8 +78,17 @@
 	parts partTable
 	// covers is the working space of one choice.
 	covers map[string]coverage
+	// store is the address of the KV store, empty when there is none.
+	store string
 }
 
+// StoreID stands for the KV store where endpoints are named.
+const StoreID = "kv-store"
+
+// SetStore sets the address of the KV store. Empty means that there is none or
+// that it is down.
+func (s *Selector) SetStore(address string) { s.store = address }
+
 // New returns a Selector of a router in the availability zone.
 func New(cfg Config, zone string) *Selector {
 	return &Selector{cfg: cfg, zone: zone, state: map[string]*endpointState{}, parts: newPartTable(cfg.MaxParts), covers: map[string]coverage{}}
@@ -108,6 +120,11 @@
 			best, found = c, true
 		}
 	}
+	if found && r.Prompt != nil && s.store != "" {
+		if held := s.covers[StoreID]; held.weights != best.Weights || held.tokens < r.Prompt.SharedTokens() {
+			best.SaveTo = s.store
+		}
+	}
 	return best, found
 }
 
@@ -196,6 +213,9 @@
 func (s *Selector) source(now time.Duration, v *fleet.View, r *Request) source {
 	var best source
 	var bestID string
+	if c := s.covers[StoreID]; s.store != "" && c.read > 0 {
+		best = source{s.store, c.weights, c.read}
+	}
 	for id, c := range s.covers {
 		e := v.ByID[id]
 		if e == nil || c.read == 0 || e.Weights[r.Prompt.Model] != c.weights {
--- a/modules/cacheevents/cacheevents.go
+++ b/modules/cacheevents/cacheevents.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/fleet"
 	"github.com/arbutusline/arbutusline/modules/admin"
 	"github.com/arbutusline/arbutusline/modules/directory"
@@ -129,23 +130,44 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, e := range v.ByID {
-		service := v.Config.Services[e.Service]
-		if service == nil || service.Engine == nil || c.followed[id] != nil || !mine(c.node.ID, id, routers) {
+	sources := sourcesOf(v)
+	for id, s := range sources {
+		if c.followed[id] != nil || !mine(c.node.ID, id, routers) {
 			continue
 		}
 		ctx, cancel := context.WithCancel(c.ctx)
 		c.followed[id] = cancel
-		c.done.Go(func() { c.follow(ctx, e) })
+		c.done.Go(func() { c.follow(ctx, s) })
 	}
 	for id, cancel := range c.followed {
-		if v.ByID[id] == nil {
+		if _, ok := sources[id]; !ok {
 			cancel()
 			delete(c.followed, id)
 		}
 	}
 }
 
+// source is an engine or KV store that tells cache events.
+type source struct {
+	id      string
+	address string
+	// endpoint is the incarnation that must answer, empty for a KV store.
+	endpoint string
+}
+
+func sourcesOf(v *fleet.View) map[string]source {
+	out := map[string]source{}
+	for id, e := range v.ByID {
+		if s := v.Config.Services[e.Service]; s != nil && s.Engine != nil {
+			out[id] = source{id, e.Address, id}
+		}
+	}
+	if s := v.Config.CacheStore(); s != nil {
+		out[selection.StoreID] = source{id: selection.StoreID, address: s.CacheStore}
+	}
+	return out
+}
+
 // mine reports whether a router is among the first in the rendezvous order of
 // an engine.
 func mine(self, engine string, routers []string) bool {
@@ -159,10 +181,10 @@
 	return before < followers
 }
 
-func (c *CacheEvents) follow(ctx context.Context, e *fleet.Endpoint) {
+func (c *CacheEvents) follow(ctx context.Context, s source) {
 	var epoch, next uint64
 	for ctx.Err() == nil {
-		got, err := c.call(ctx, e, next)
+		got, err := c.call(ctx, s, next)
 		if err != nil {
 			c.events.WithLabelValues("failed").Inc()
 			pause(ctx, retryAfter)
@@ -170,26 +192,26 @@
 		}
 		restarted := epoch != 0 && got.Epoch != epoch
 		if restarted {
-			c.log.WithFields(logrus.Fields{"endpoint": e.ID, "epoch": got.Epoch}).Info("engine started again, its cache is empty")
+			c.log.WithFields(logrus.Fields{"endpoint": s.id, "epoch": got.Epoch}).Info("engine started again, its cache is empty")
 		}
 		if got.Lost && next != 0 {
 			c.events.WithLabelValues("lost").Inc()
 		}
 		c.events.WithLabelValues("taken").Add(float64(len(got.Events)))
 		if epoch != 0 || len(got.Events) > 0 {
-			c.relay.CacheEvents(e.ID, got.Events, restarted)
+			c.relay.CacheEvents(s.id, got.Events, restarted)
 		}
 		epoch, next = got.Epoch, got.Next
 		pause(ctx, c.Pace.D())
 	}
 }
 
-func (c *CacheEvents) call(ctx context.Context, e *fleet.Endpoint, since uint64) (platform.CacheEvents, error) {
+func (c *CacheEvents) call(ctx context.Context, s source, since uint64) (platform.CacheEvents, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	answer, err := c.upstream.Do(ctx, e.Address, &upstream.Request{
-		Method: http.MethodGet, URI: platform.CacheEventsPath(since), Host: e.Address,
-		Header: platform.CacheEventsHeader(e.ID, wait),
+	answer, err := c.upstream.Do(ctx, s.address, &upstream.Request{
+		Method: http.MethodGet, URI: platform.CacheEventsPath(since), Host: s.address,
+		Header: platform.CacheEventsHeader(s.endpoint, wait),
 	})
 	if err != nil {
 		return platform.CacheEvents{}, err
--- a/modules/relay/cachestore.go
+++ b/modules/relay/cachestore.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/arbutusline/arbutusline/fleet"
 )
 
@@ -32,8 +34,8 @@
 	for ctx.Err() == nil {
 		if s := cacheStore(r.directory.View()); s != nil {
 			err := r.upstream.Check(ctx, s.CacheStore)
-			if down := err != nil; ctx.Err() == nil && r.cacheStoreDown.Swap(down) != down {
-				r.log.WithError(err).WithField("address", s.CacheStore).WithField("down", down).Warn("KV store changed")
+			if ctx.Err() == nil {
+				r.noteCacheStore(s.CacheStore, err)
 			}
 		}
 		sleep(ctx, cacheStoreCheck)
@@ -47,12 +49,16 @@
 	return v.Config.CacheStore()
 }
 
-// cacheStoreAddress returns the address of the KV store, empty when there is
-// none or it is down.
-func (r *Relay) cacheStoreAddress() string {
-	s := cacheStore(r.directory.View())
-	if s == nil || r.cacheStoreDown.Load() {
-		return ""
+// noteCacheStore takes the result of a check.
+func (r *Relay) noteCacheStore(address string, err error) {
+	if down := err != nil; r.cacheStoreDown != down {
+		r.cacheStoreDown = down
+		r.log.WithError(err).WithFields(logrus.Fields{"address": address, "down": down}).Warn("KV store changed")
+	}
+	if err != nil {
+		address = ""
 	}
-	return s.CacheStore
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.selector.SetStore(address)
 }
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -282,21 +282,11 @@
 	}
 	if x.job.Prompt != nil {
 		a.Namespace, a.Weights = cacheNamespace(c.Weights, x.job.namespace()), c.Weights
-		x.addCacheSources(a, c)
+		a.FetchFrom, a.SaveTo = c.FetchFrom, c.SaveTo
 	}
 	return a
 }
 
-// addCacheSources names where the endpoint can get parts that it lacks, and the
-// KV store for parts that are read for the first time.
-func (x *execution) addCacheSources(a *platform.Attempt, c selection.Choice) {
-	store := x.relay.cacheStoreAddress()
-	a.FetchFrom = c.FetchFrom
-	if a.FetchFrom == "" && c.CachedTokens < x.job.Prompt.SharedTokens() {
-		a.FetchFrom, a.SaveTo = store, store
-	}
-}
-
 // movable reports whether the job may leave its endpoint for another one.
 func (x *execution) movable() bool {
 	return x.job.Route.Kind == fleet.Stream && x.job.Route.Repeatable() && x.tries < x.job.Route.MaxAttempts
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,7 +58,7 @@
 	cancel    context.CancelFunc
 	done      sync.WaitGroup
 	// cacheStoreDown is true while the KV store does not take connections.
-	cacheStoreDown atomic.Bool
+	cacheStoreDown bool
 
 	mu       sync.Mutex
 	selector *selection.Selector
@@ -214,7 +213,7 @@
 		if !ok {
 			continue // The part was not read for this system.
 		}
-		r.selector.CacheEvent(endpoint, selection.PartKey(team, e.Model, e.PartID), weights, e.Tokens)
+		r.selector.CacheEvent(r.now(), endpoint, selection.PartKey(team, e.Model, e.PartID), weights, e.Tokens)
 	}
 }
 
