Gather the requests for a part at one endpoint

Cause: an unknown part started at whichever endpoint had the least to do, so that several routers read it at several endpoints; the memory of the engines then turned over faster. The second choice of the rendezvous order now costs 60 ms and the others 120, reading again weighs four times, routers tell each other what is being read, and they exchange every 120 ms in place of 250.

--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -78,7 +78,9 @@
 	}
 	st.unread += r.Prompt.InputTokens - c.CachedTokens
 	for _, key := range partKeys(r.Namespace, r.Prompt) {
-		s.parts.used(key, c.Endpoint.ID, c.Weights, now)
+		if s.parts.used(key, c.Endpoint.ID, c.Weights, now) {
+			s.parts.tell(news{key, c.Endpoint.ID, c.Weights, false})
+		}
 	}
 }
 
@@ -98,17 +100,17 @@
 	}
 }
 
-// NewParts returns the parts that endpoints have read for this router since the
-// last call.
+// NewParts returns the parts that endpoints have read or begun to read for this
+// router since the last call.
 func (s *Selector) NewParts() []Held {
 	var out []Held
 	index := map[string]int{}
 	for _, n := range s.parts.fresh {
 		i, ok := index[n.endpoint]
-		if !ok || out[i].Weights != n.weights {
+		if !ok || out[i].Weights != n.weights || out[i].Read != n.read {
 			i = len(out)
 			index[n.endpoint] = i
-			out = append(out, Held{Endpoint: n.endpoint, Weights: n.weights})
+			out = append(out, Held{Endpoint: n.endpoint, Weights: n.weights, Read: n.read})
 		}
 		out[i].Keys = append(out[i].Keys, n.key)
 	}
@@ -129,7 +131,9 @@
 	for _, h := range held {
 		for _, key := range h.Keys {
 			s.parts.used(key, h.Endpoint, h.Weights, now)
-			s.parts.find(key, h.Endpoint, h.Weights).read = true
+			if h.Read {
+				s.parts.find(key, h.Endpoint, h.Weights).read = true
+			}
 		}
 	}
 }
--- a/decision/selection/parts.go
+++ b/decision/selection/parts.go
@@ -8,9 +8,13 @@
 	"github.com/arbutusline/arbutusline/fleet"
 )
 
-// homeSpread is the most that the rendezvous order adds to a cost. It lets all
-// routers start an unknown part at the same endpoint.
-const homeSpread = 40 * time.Millisecond
+const (
+	// homeSecond and homeOther are the costs of starting an unknown part at the
+	// second or another endpoint of its rendezvous order. They let all routers
+	// start it at the same endpoint unless that one has much more to do.
+	homeSecond = 60 * time.Millisecond
+	homeOther  = 120 * time.Millisecond
+)
 
 // maxNews bounds the holders that wait to be told to other routers.
 const maxNews = 1000
@@ -42,14 +46,27 @@
 	return x ^ x>>33
 }
 
-// homeDistance is 0 for the endpoint that comes first in the rendezvous order
-// of the last shared part and grows to homeSpread for the last one.
-func homeDistance(chain []uint64, endpoint string) time.Duration {
+// homes returns the first two of the endpoints in the rendezvous order of the
+// last shared part, or empty names when there is none.
+func homes(chain []uint64, endpoints []*fleet.Endpoint) (first, second string) {
 	if len(chain) == 0 {
-		return 0
+		return "", ""
+	}
+	var firstHash, secondHash uint64
+	for _, e := range endpoints {
+		if e.State != fleet.Ready {
+			continue
+		}
+		h := mix(chain[len(chain)-1] ^ xxhash.Sum64String(e.ID))
+		switch {
+		case h > firstHash:
+			second, secondHash = first, firstHash
+			first, firstHash = e.ID, h
+		case h > secondHash:
+			second, secondHash = e.ID, h
+		}
 	}
-	h := mix(chain[len(chain)-1] ^ xxhash.Sum64String(endpoint))
-	return time.Duration(float64(h>>11) / (1 << 53) * float64(homeSpread))
+	return first, second
 }
 
 type holder struct {
@@ -71,6 +88,8 @@
 	Endpoint string
 	Weights  uint64
 	Keys     []uint64
+	// Read is false while the endpoint is still reading the parts.
+	Read bool
 }
 
 // news is a holder that other routers may not know.
@@ -78,6 +97,7 @@
 	key      uint64
 	endpoint string
 	weights  uint64
+	read     bool
 }
 
 type partTable struct {
@@ -108,21 +128,28 @@
 		return
 	}
 	h.read = true
+	t.tell(news{key, endpoint, weights, true})
+}
+
+func (t *partTable) tell(n news) {
 	if len(t.fresh) < maxNews {
-		t.fresh = append(t.fresh, news{key, endpoint, weights})
+		t.fresh = append(t.fresh, n)
 	}
 }
 
-func (t *partTable) used(key uint64, endpoint string, weights uint64, now time.Duration) {
+// used notes that a request with the part was sent to the endpoint and reports
+// whether the endpoint was not known to hold it.
+func (t *partTable) used(key uint64, endpoint string, weights uint64, now time.Duration) bool {
 	list := t.holders[key]
 	oldest := 0
 	for i, h := range list {
 		if h.endpoint == endpoint {
-			if h.weights != weights {
+			changed := h.weights != weights
+			if changed {
 				list[i].read = false
 			}
 			list[i].weights, list[i].used, list[i].tokens = weights, now, wholePart
-			return
+			return changed
 		}
 		if h.used < list[oldest].used {
 			oldest = i
@@ -131,12 +158,13 @@
 	h := holder{endpoint: endpoint, weights: weights, used: now, tokens: wholePart}
 	if len(list) >= holdersPerPart {
 		list[oldest] = h
-		return
+		return true
 	}
 	if len(list) == 0 && len(t.holders) >= t.max {
 		t.evict(now)
 	}
 	t.holders[key] = append(list, h)
+	return true
 }
 
 // evict drops an arbitrary tenth of the table; entries in use come back with
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -106,6 +106,7 @@
 		chain = partKeys(r.Namespace, r.Prompt)
 		s.cover(now, chain, r.Prompt)
 		src = s.source(now, v, r)
+		src.first, src.second = homes(chain, v.ByService[r.Service])
 	}
 	for _, e := range v.ByService[r.Service] {
 		if e.State != fleet.Ready || contains(r.Exclude, e.ID) {
@@ -156,7 +157,9 @@
 	cost += s.reading(float64(own) + float64(missing)*s.cfg.RereadFactor)
 	cost += s.reading(float64(st.unread + st.remoteUnread))
 	cost += s.cfg.RunCost * time.Duration(st.running+st.remoteRunning)
-	cost += homeDistance(chain, e.ID)
+	if c.CachedTokens < r.Prompt.SharedTokens() {
+		cost += src.homeCost(e.ID)
+	}
 	c.Cost = cost
 	return c
 }
@@ -201,11 +204,24 @@
 	}
 }
 
-// source is an endpoint from which others can fetch parts.
+// source is an endpoint from which others can fetch parts, with the endpoints
+// that should hold them.
 type source struct {
-	address string
-	weights uint64
-	tokens  int
+	address       string
+	weights       uint64
+	tokens        int
+	first, second string
+}
+
+// homeCost is the cost of adding a holder of a prompt's parts.
+func (s *source) homeCost(endpoint string) time.Duration {
+	switch endpoint {
+	case s.first:
+		return 0
+	case s.second:
+		return homeSecond
+	}
+	return homeOther
 }
 
 // source returns the endpoint that has read the most of the prompt's shared
@@ -214,7 +230,7 @@
 	var best source
 	var bestID string
 	if c := s.covers[StoreID]; s.store != "" && c.read > 0 {
-		best = source{s.store, c.weights, c.read}
+		best = source{address: s.store, weights: c.weights, tokens: c.read}
 	}
 	for id, c := range s.covers {
 		e := v.ByID[id]
@@ -226,7 +242,7 @@
 		}
 		better := c.weights > best.weights || c.weights == best.weights && c.read > best.tokens
 		if same := c.weights == best.weights && c.read == best.tokens; better || same && id < bestID {
-			best, bestID = source{e.Address, c.weights, c.read}, id
+			best, bestID = source{address: e.Address, weights: c.weights, tokens: c.read}, id
 		}
 	}
 	return best
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -54,7 +54,7 @@
 
 func init() {
 	arbutusline.Register(func() arbutusline.Module {
-		return &Exchange{Interval: settings.Duration(250 * time.Millisecond), Fanout: 3}
+		return &Exchange{Interval: settings.Duration(120 * time.Millisecond), Fanout: 3}
 	})
 }
 
@@ -62,8 +62,8 @@
 type Exchange struct {
 	arbutuspb.UnimplementedRouterServer `json:"-"`
 
-	// Interval is the time between two rounds. Default 250ms: news reaches some
-	// hundred routers within about a second and a half.
+	// Interval is the time between two rounds. Default 120ms: news reaches some
+	// hundred routers within a second.
 	Interval settings.Duration `json:"interval"`
 	// Fanout is the number of routers called in each round. Default 3.
 	Fanout int `json:"fanout"`
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -51,7 +51,7 @@
 	defer x.mu.Unlock()
 	for _, h := range fresh {
 		x.parts = append(x.parts, &heldNews{
-			news: &arbutuspb.HeldParts{Endpoint: h.Endpoint, Weights: h.Weights, Keys: h.Keys}, sends: partRepeats,
+			news: &arbutuspb.HeldParts{Endpoint: h.Endpoint, Weights: h.Weights, Keys: h.Keys, Read: h.Read}, sends: partRepeats,
 		})
 	}
 	var changes []*arbutuspb.WeightsChange
@@ -107,7 +107,7 @@
 	}
 	held := make([]selection.Held, 0, len(in.GetParts()))
 	for _, h := range in.GetParts() {
-		held = append(held, selection.Held{Endpoint: h.GetEndpoint(), Weights: h.GetWeights(), Keys: h.GetKeys()})
+		held = append(held, selection.Held{Endpoint: h.GetEndpoint(), Weights: h.GetWeights(), Keys: h.GetKeys(), Read: h.GetRead()})
 	}
 	x.relay.RemoteParts(held)
 	for _, c := range in.GetChanges() {
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -118,7 +118,7 @@
 const (
 	// rereadFactor weighs the reading of shared parts against other work:
 	// reading them again also delays every request behind.
-	rereadFactor = 2
+	rereadFactor = 4
 	// fetchTokensPerMs is half the rate of an engine's link, for transfers that
 	// wait for others or cross an availability zone.
 	fetchTokensPerMs = 120
