--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -131,6 +131,6 @@
 		return
 	}
 	if e := x.directory.View().ByID[c.GetEndpoint()]; e != nil && e.Weights[c.GetModel()] < c.GetVersion() {
-		x.relay.Swapping(c.GetEndpoint(), c.GetModel(), c.GetVersion())
+		x.relay.Swapping(c.GetEndpoint())
 	}
 }
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -235,12 +235,11 @@
 
 // Swapping keeps requests away from an endpoint that is about to change its
 // weights, and moves the streams there that may go on elsewhere.
-func (r *Relay) Swapping(endpoint, model string, version uint64) {
-	elsewhere := r.serves(endpoint, model, version)
+func (r *Relay) Swapping(endpoint string) {
 	routers := len(r.directory.Routers()) + 1
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.selector.Swapping(r.now(), endpoint) || !elsewhere {
+	if !r.selector.Swapping(r.now(), endpoint) {
 		return
 	}
 	for t := range r.live[endpoint] {
@@ -252,22 +251,6 @@
 	}
 }
 
-// serves reports whether an endpoint other than the given one of the same
-// service has the weights.
-func (r *Relay) serves(endpoint, model string, version uint64) bool {
-	v := r.directory.View()
-	e := v.ByID[endpoint]
-	if e == nil {
-		return false
-	}
-	for _, other := range v.ByService[e.Service] {
-		if other.ID != endpoint && other.State == fleet.Ready && other.Weights[model] >= version {
-			return true
-		}
-	}
-	return false
-}
-
 // Running returns the requests that all routers have at an endpoint.
 func (r *Relay) Running(endpoint string) int {
 	r.mu.Lock()
--- a/modules/upgrade/change.go
+++ b/modules/upgrade/change.go
@@ -54,7 +54,7 @@
 	defer cancel()
 	u.exchange.Announce(s.endpoint.ID, s.model, s.version, false)
 	sleep(ctx, announceLead)
-	var orderedAt time.Time
+	var orderedAt, emptyAt time.Time
 	misses := 0
 	for ctx.Err() == nil {
 		report, err := u.report(ctx, s)
@@ -66,7 +66,7 @@
 				return
 			}
 		case report.Weights[s.model] >= s.version && !report.Busy:
-			u.completed(s, report.Weights[s.model])
+			u.completed(s, report.Weights[s.model], orderedAt, emptyAt)
 			return
 		case !report.Busy && time.Since(orderedAt) > repeatOrder:
 			result, sent := u.order(ctx, s, report.Orders)
@@ -74,13 +74,16 @@
 				return
 			}
 			if result == holds {
-				u.completed(s, s.version)
+				u.completed(s, s.version, orderedAt, emptyAt)
 				return
 			}
 			if result == accepted || result == unanswered {
 				orderedAt = time.Now()
 			}
 		}
+		if err == nil && emptyAt.IsZero() && report.Running+report.Queued == 0 {
+			emptyAt = time.Now()
+		}
 		if u.directory.View().ByID[s.endpoint.ID] == nil {
 			return
 		}
@@ -95,8 +98,17 @@
 	u.postponed[s.key()] = time.Now().Add(postponeFor)
 }
 
-func (u *Upgrade) completed(s step, version uint64) {
-	u.log.WithFields(logrus.Fields{"endpoint": s.endpoint.ID, "model": s.model, "weights": version}).Info("weights changed")
+// completed tells everyone that an engine has its weights. OrderedAt and emptyAt
+// are when the order was accepted and when no request was left; zero if unknown.
+func (u *Upgrade) completed(s step, version uint64, orderedAt, emptyAt time.Time) {
+	entry := u.log.WithFields(logrus.Fields{"endpoint": s.endpoint.ID, "model": s.model, "weights": version})
+	if !orderedAt.IsZero() {
+		entry = entry.WithField("took_ms", time.Since(orderedAt).Milliseconds())
+	}
+	if !emptyAt.IsZero() {
+		entry = entry.WithField("since_empty_ms", time.Since(emptyAt).Milliseconds())
+	}
+	entry.Info("weights changed")
 	u.exchange.Announce(s.endpoint.ID, s.model, version, true)
 }
 
--- a/modules/upgrade/upgrade.go
+++ b/modules/upgrade/upgrade.go
@@ -290,6 +290,19 @@
 	return out
 }
 
+// sortSteps puts the engines with the oldest weights first, because each version
+// has its own time limit, and then those with the least work, which are empty
+// first.
+func (u *Upgrade) sortSteps(steps []step) {
+	sort.Slice(steps, func(i, j int) bool {
+		a, b := steps[i], steps[j]
+		if av, bv := a.endpoint.Weights[a.model], b.endpoint.Weights[b.model]; av != bv {
+			return av < bv
+		}
+		return u.relay.Running(a.endpoint.ID) < u.relay.Running(b.endpoint.ID)
+	})
+}
+
 func (u *Upgrade) begin(ctx context.Context, s step) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
