--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -26,6 +26,9 @@
 	// OldWeightsGrace is how long after their naming new weights have no
 	// preference.
 	OldWeightsGrace time.Duration
+	// OldWeightsLimit is how long after they were superseded weights should not
+	// be used at all.
+	OldWeightsLimit time.Duration
 	// FailureCost is the price of an endpoint all of whose requests fail.
 	FailureCost time.Duration
 	// ServiceTime is the assumed time of one request at a plain service.
@@ -49,6 +52,9 @@
 	Namespace string
 	// Exclude are endpoints that must not be chosen.
 	Exclude []string
+	// Moved requests left another endpoint for its change of weights. Where they
+	// go now they stay.
+	Moved bool
 	// Repeatable requests may test an endpoint that failed before.
 	Repeatable bool
 }
@@ -141,8 +147,8 @@
 	}
 	model := r.Prompt.Model
 	c.Weights = e.Weights[model]
-	if named := v.Weights[model]; c.Weights < named && wall.Sub(v.Named[model]) > s.cfg.OldWeightsGrace {
-		cost += s.cfg.OldWeightsCost
+	if at, old := v.Superseded(model, c.Weights); old {
+		cost += s.oldWeights(wall.Sub(at), r.Moved)
 	}
 	if held := s.covers[e.ID]; held.weights == c.Weights {
 		c.CachedTokens = held.tokens
@@ -164,6 +170,27 @@
 	return c
 }
 
+// oldWeights is the cost of running on weights that were superseded some time
+// ago. A stream that has moved would hold up the change of another endpoint.
+func (s *Selector) oldWeights(age time.Duration, moved bool) time.Duration {
+	switch {
+	case age > s.cfg.OldWeightsLimit:
+		return s.cfg.OldWeightsCost * expiredFactor
+	case moved:
+		return s.cfg.OldWeightsCost * movedFactor
+	case age > s.cfg.OldWeightsGrace:
+		return s.cfg.OldWeightsCost
+	}
+	return 0
+}
+
+const (
+	// movedFactor multiplies the cost of old weights for streams that have moved.
+	movedFactor = 3
+	// expiredFactor multiplies the cost of weights past their limit.
+	expiredFactor = 6
+)
+
 func (s *Selector) reading(tokens float64) time.Duration {
 	return time.Duration(tokens / s.cfg.PrefillTokensPerMs * float64(time.Millisecond))
 }
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -153,6 +153,24 @@
 	ByID map[string]*Endpoint
 	// Weights is the newest named weights version of each model.
 	Weights map[string]uint64
-	// Named is when this process learned of that version.
-	Named map[string]time.Time
+	// Named lists the versions of each model in the order in which this process
+	// learned of them.
+	Named map[string][]NamedWeights
+}
+
+// NamedWeights is a weights version and when this process learned of it.
+type NamedWeights struct {
+	Version uint64
+	At      time.Time
+}
+
+// Superseded returns when a newer version of the model than the given one was
+// named, and false when it is the newest.
+func (v *View) Superseded(model string, version uint64) (time.Time, bool) {
+	for _, n := range v.Named[model] {
+		if n.Version > version {
+			return n.At, true
+		}
+	}
+	return time.Time{}, false
 }
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -41,6 +41,8 @@
 	// returnGrace is how long an endpoint stays in use whose entry lapsed while
 	// the store was away; live endpoints are back within about 2 s.
 	returnGrace = 2300 * time.Millisecond
+	// namedHistory is the number of weights versions that are remembered.
+	namedHistory = 16
 	// tombstones is the number of revisions for which removals are kept.
 	tombstones = 20000
 )
@@ -74,7 +76,7 @@
 	mu       sync.Mutex
 	copies   map[string]*replica.Replica
 	config   *fleet.Configuration
-	named    map[string]time.Time
+	named    map[string][]fleet.NamedWeights
 	learned  map[string]map[string]uint64
 	leaving  map[string]leaving
 	decoded  map[string]decoded
@@ -119,7 +121,7 @@
 	for _, kind := range kinds {
 		d.copies[kind] = replica.New()
 	}
-	d.named, d.learned = map[string]time.Time{}, map[string]map[string]uint64{}
+	d.named, d.learned = map[string][]fleet.NamedWeights{}, map[string]map[string]uint64{}
 	d.leaving, d.decoded, d.badSeen = map[string]leaving{}, map[string]decoded{}, map[string]uint64{}
 	d.view.Store(&fleet.View{})
 	d.store = platform.NewStore(d.Store)
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -63,10 +64,10 @@
 func (d *Directory) publish() {
 	v := &fleet.View{
 		Config: d.config, ByService: map[string][]*fleet.Endpoint{}, ByID: map[string]*fleet.Endpoint{},
-		Weights: d.namedWeights(), Named: map[string]time.Time{},
+		Weights: d.namedWeights(), Named: map[string][]fleet.NamedWeights{},
 	}
-	for model, at := range d.named {
-		v.Named[model] = at
+	for model, named := range d.named {
+		v.Named[model] = slices.Clone(named)
 	}
 	for _, e := range d.copies[platform.KindEndpoints].Entries() {
 		if endpoint := d.decodeEndpoint(e); endpoint != nil {
@@ -98,7 +99,8 @@
 		}
 		if version > out[model] {
 			out[model] = version
-			d.named[model] = time.Now()
+			named := append(d.named[model], fleet.NamedWeights{Version: version, At: time.Now()})
+			d.named[model] = named[max(0, len(named)-namedHistory):]
 			d.log.WithFields(logrus.Fields{"model": model, "weights": version}).Info("weights named")
 		}
 	}
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -32,7 +32,7 @@
 	arbutusline.Register(func() arbutusline.Module {
 		return &Relay{
 			PrefillTokensPerMs: 40, RetryRatio: 0.2, RetrySlack: 56,
-			RetryWindow: settings.Duration(budget.RetryWindow),
+			RetryWindow: settings.Duration(budget.RetryWindow), OldWeightsLimit: settings.Duration(5 * time.Second),
 		}
 	})
 }
@@ -49,6 +49,9 @@
 	RetrySlack float64 `json:"retry_slack"`
 	// RetryWindow must be 10s.
 	RetryWindow settings.Duration `json:"retry_window"`
+	// OldWeightsLimit is how long after newer weights were named requests may be
+	// sent to an engine with old ones if another one has room. Default 5s.
+	OldWeightsLimit settings.Duration `json:"old_weights_limit"`
 
 	log       *logrus.Entry
 	directory *directory.Directory
@@ -108,7 +111,8 @@
 	r.zone = n.Zone
 	r.selector = selection.New(selection.Config{
 		PrefillTokensPerMs: r.PrefillTokensPerMs, FetchTokensPerMs: fetchTokensPerMs, RereadFactor: rereadFactor, RunCost: runCost, ZoneCost: zoneCost,
-		OldWeightsCost: oldWeightsCost, OldWeightsGrace: oldWeightsGrace, FailureCost: failureCost,
+		OldWeightsCost: oldWeightsCost, OldWeightsGrace: oldWeightsGrace, OldWeightsLimit: r.OldWeightsLimit.D(),
+		FailureCost: failureCost,
 		ServiceTime: serviceTime, PartLife: partLife, MaxParts: maxParts,
 	}, r.zone)
 	r.directory.Watch(r.onView)
--- a/modules/upgrade/upgrade.go
+++ b/modules/upgrade/upgrade.go
@@ -55,11 +55,15 @@
 	// as many engines wait for their running requests to end.
 	concurrentShare = 28
 	minConcurrent   = 3
+	// urgentShare and minUrgent apply once an engine has had old weights for half
+	// of the time limit.
+	urgentShare = 45
+	minUrgent   = 5
 )
 
 func init() {
 	arbutusline.Register(func() arbutusline.Module {
-		return &Upgrade{TurnPause: settings.Duration(3 * time.Second)}
+		return &Upgrade{TurnPause: settings.Duration(3 * time.Second), TimeLimit: settings.Duration(8 * time.Second)}
 	})
 }
 
@@ -69,6 +73,9 @@
 	Holder string `json:"holder"`
 	// TurnPause is the least time between orders of two holders. Default 3s.
 	TurnPause settings.Duration `json:"turn_pause"`
+	// TimeLimit is the time in which all engines should have new weights.
+	// Default 8s.
+	TimeLimit settings.Duration `json:"time_limit"`
 
 	log       *logrus.Entry
 	directory *directory.Directory
@@ -137,8 +144,8 @@
 	if u.Holder == "" {
 		return errors.New("holder is required")
 	}
-	if u.TurnPause <= 0 {
-		return errors.New("turn_pause must be positive")
+	if u.TurnPause <= 0 || u.TimeLimit <= 0 {
+		return errors.New("turn_pause and time_limit must be positive")
 	}
 	return nil
 }
@@ -264,7 +271,7 @@
 			continue
 		}
 		endpoints := v.ByService[name]
-		room := max(minConcurrent, len(endpoints)*concurrentShare/100)
+		running, urgent := 0, false
 		var need []step
 		for _, e := range endpoints {
 			for model, version := range e.Weights {
@@ -272,8 +279,10 @@
 				if version >= s.version || e.State != fleet.Ready {
 					continue
 				}
+				at, _ := v.Superseded(model, version)
+				urgent = urgent || time.Since(at) > u.TimeLimit.D()/2
 				if u.active[s.key()] {
-					room--
+					running++
 					continue
 				}
 				if time.Now().After(u.postponed[s.key()]) {
@@ -281,25 +290,31 @@
 				}
 			}
 		}
-		// Engines with the least work are empty first.
-		sort.Slice(need, func(i, j int) bool {
-			return u.relay.Running(need[i].endpoint.ID) < u.relay.Running(need[j].endpoint.ID)
-		})
+		sortSteps(need, u.relay)
+		room := concurrent(len(endpoints), urgent) - running
 		out = append(out, need[:min(len(need), max(0, room))]...)
 	}
 	return out
 }
 
+// concurrent returns how many of a service's engines change at once.
+func concurrent(engines int, urgent bool) int {
+	if urgent {
+		return max(minUrgent, engines*urgentShare/100)
+	}
+	return max(minConcurrent, engines*concurrentShare/100)
+}
+
 // sortSteps puts the engines with the oldest weights first, because each version
 // has its own time limit, and then those with the least work, which are empty
 // first.
-func (u *Upgrade) sortSteps(steps []step) {
+func sortSteps(steps []step, work interface{ Running(endpoint string) int }) {
 	sort.Slice(steps, func(i, j int) bool {
 		a, b := steps[i], steps[j]
 		if av, bv := a.endpoint.Weights[a.model], b.endpoint.Weights[b.model]; av != bv {
 			return av < bv
 		}
-		return u.relay.Running(a.endpoint.ID) < u.relay.Running(b.endpoint.ID)
+		return work.Running(a.endpoint.ID) < work.Running(b.endpoint.ID)
 	})
 }
 
