--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -29,8 +29,8 @@
 type endpointState struct {
 	// running and unread are the requests and unread prompt tokens that this
 	// router has there; the remote ones are those of other routers.
-	running, unread             int
-	remoteRunning, remoteUnread int
+	running, unread, long                   int
+	remoteRunning, remoteUnread, remoteLong int
 	// failure is the weighted share of failed requests.
 	failure     float64
 	inRow       int
@@ -38,6 +38,7 @@
 	until       time.Duration
 	trial       bool
 	swapUntil   time.Duration
+	soonUntil   time.Duration
 	busyUntil   time.Duration
 }
 
@@ -70,6 +71,9 @@
 func (s *Selector) Started(now time.Duration, r *Request, c Choice) {
 	st := s.endpoint(c.Endpoint.ID)
 	st.running++
+	if r.Long() {
+		st.long++
+	}
 	if st.suspensions > 0 {
 		st.trial = true
 	}
@@ -158,9 +162,12 @@
 )
 
 // Ended records the end of a request, after FirstEvent.
-func (s *Selector) Ended(now time.Duration, c Choice, o Outcome) {
+func (s *Selector) Ended(now time.Duration, r *Request, c Choice, o Outcome) {
 	st := s.endpoint(c.Endpoint.ID)
 	st.running = max(0, st.running-1)
+	if r.Long() {
+		st.long = max(0, st.long-1)
+	}
 	switch o {
 	case Good:
 		st.failure *= 1 - failureWeight
@@ -202,6 +209,23 @@
 	return st.running + st.remoteRunning
 }
 
+// SwappingSoon keeps long requests away from an endpoint that changes its weights
+// next. It reports whether this is news.
+func (s *Selector) SwappingSoon(now time.Duration, endpoint string) bool {
+	st := s.endpoint(endpoint)
+	if now < st.soonUntil || st.swapping(now) {
+		return false
+	}
+	st.soonUntil = now + maxSwap
+	return true
+}
+
+// Long returns the long requests that all routers have at an endpoint.
+func (s *Selector) Long(endpoint string) int {
+	st := s.endpoint(endpoint)
+	return st.long + st.remoteLong
+}
+
 // Swapped ends Swapping. The endpoint's cache is empty. Repeated news has no
 // effect.
 func (s *Selector) Swapped(endpoint string) {
@@ -209,7 +233,7 @@
 	if st == nil || st.swapUntil == 0 {
 		return
 	}
-	st.swapUntil = 0
+	st.swapUntil, st.soonUntil = 0, 0
 	s.parts.drop(endpoint)
 }
 
@@ -218,6 +242,8 @@
 	Endpoint string
 	Running  int
 	Unread   int
+	// Long is how many of the running requests may take seconds.
+	Long int
 }
 
 // Loads returns this router's own work by endpoint.
@@ -225,7 +251,7 @@
 	var out []Load
 	for id, st := range s.state {
 		if st.running > 0 {
-			out = append(out, Load{id, st.running, st.unread})
+			out = append(out, Load{id, st.running, st.unread, st.long})
 		}
 	}
 	return out
@@ -234,12 +260,13 @@
 // RemoteLoads replaces the work of all other routers.
 func (s *Selector) RemoteLoads(loads []Load) {
 	for _, st := range s.state {
-		st.remoteRunning, st.remoteUnread = 0, 0
+		st.remoteRunning, st.remoteUnread, st.remoteLong = 0, 0, 0
 	}
 	for _, l := range loads {
 		st := s.endpoint(l.Endpoint)
 		st.remoteRunning += l.Running
 		st.remoteUnread += l.Unread
+		st.remoteLong += l.Long
 	}
 }
 
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -59,6 +59,13 @@
 	Repeatable bool
 }
 
+// longOutput is the number of output tokens from which a request counts as long:
+// about half a second of generation.
+const longOutput = 64
+
+// Long reports whether a request may take seconds.
+func (r *Request) Long() bool { return r.Prompt != nil && r.Prompt.MaxOutputTokens > longOutput }
+
 // Choice is the outcome of Select.
 type Choice struct {
 	Endpoint *fleet.Endpoint
@@ -119,7 +126,7 @@
 			continue
 		}
 		st := s.endpoint(e.ID)
-		if st.swapping(now) || now < st.busyUntil || !st.admits(now, r.Repeatable) || st.full(e) {
+		if st.swapping(now) || now < st.soonUntil && r.Long() || now < st.busyUntil || !st.admits(now, r.Repeatable) || st.full(e) {
 			continue
 		}
 		c := s.cost(now, wall, v, r, chain, &src, e, st)
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -187,10 +187,9 @@
 	}
 }
 
-// Announce tells all routers at once that an endpoint is about to change its
-// weights, or has done so.
-func (x *Exchange) Announce(endpoint, model string, version uint64, done bool) {
-	news := &arbutuspb.WeightsChange{Endpoint: endpoint, Model: model, Version: version, Done: done}
+// Announce tells all routers at once how far an endpoint's change of weights is.
+func (x *Exchange) Announce(endpoint, model string, version uint64, stage arbutuspb.ChangeStage) {
+	news := &arbutuspb.WeightsChange{Endpoint: endpoint, Model: model, Version: version, Stage: stage}
 	x.mu.Lock()
 	kept := x.changes[:0]
 	for _, c := range x.changes {
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -28,7 +28,7 @@
 	}
 	for _, l := range x.relay.Loads() {
 		out.Loads = append(out.Loads, &arbutuspb.EndpointLoad{
-			Endpoint: l.Endpoint, Running: uint32(l.Running), Unread: uint32(l.Unread),
+			Endpoint: l.Endpoint, Running: uint32(l.Running), Unread: uint32(l.Unread), Long: uint32(l.Long),
 		})
 	}
 	for _, s := range x.relay.Strikes(maxStrikes) {
@@ -97,7 +97,7 @@
 func (x *Exchange) merge(in *arbutuspb.RouterState) {
 	loads := make([]selection.Load, 0, len(in.GetLoads()))
 	for _, l := range in.GetLoads() {
-		loads = append(loads, selection.Load{Endpoint: l.GetEndpoint(), Running: int(l.GetRunning()), Unread: int(l.GetUnread())})
+		loads = append(loads, selection.Load{Endpoint: l.GetEndpoint(), Running: int(l.GetRunning()), Unread: int(l.GetUnread()), Long: int(l.GetLong())})
 	}
 	x.relay.RemoteLoads(in.GetName(), loads)
 	for _, s := range in.GetStrikes() {
@@ -126,11 +126,16 @@
 
 // take applies the news of a change of weights.
 func (x *Exchange) take(c *arbutuspb.WeightsChange) {
-	if c.GetDone() {
+	if c.GetStage() == arbutuspb.ChangeStage_CHANGE_STAGE_DONE {
 		x.relay.Swapped(c.GetEndpoint(), c.GetModel(), c.GetVersion())
 		return
 	}
-	if e := x.directory.View().ByID[c.GetEndpoint()]; e != nil && e.Weights[c.GetModel()] < c.GetVersion() {
-		x.relay.Swapping(c.GetEndpoint())
+	if e := x.directory.View().ByID[c.GetEndpoint()]; e == nil || e.Weights[c.GetModel()] >= c.GetVersion() {
+		return
+	}
+	if c.GetStage() == arbutuspb.ChangeStage_CHANGE_STAGE_SOON {
+		x.relay.SwappingSoon(c.GetEndpoint())
+		return
 	}
+	x.relay.Swapping(c.GetEndpoint())
 }
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -237,29 +237,45 @@
 	}
 }
 
+// SwappingSoon keeps long requests away from an endpoint that changes its weights
+// next, and moves the streams there that may go on elsewhere.
+func (r *Relay) SwappingSoon(endpoint string) {
+	routers := len(r.directory.Routers()) + 1
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.selector.SwappingSoon(r.now(), endpoint) {
+		r.moveStreams(endpoint, routers)
+	}
+}
+
 // Swapping keeps requests away from an endpoint that is about to change its
 // weights, and moves the streams there that may go on elsewhere.
 func (r *Relay) Swapping(endpoint string) {
 	routers := len(r.directory.Routers()) + 1
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.selector.Swapping(r.now(), endpoint) {
-		return
+	if r.selector.Swapping(r.now(), endpoint) {
+		r.moveStreams(endpoint, routers)
 	}
+}
+
+// moveStreams ends the tries of streams that can go on elsewhere. The retry is
+// paid for first: a stream that was cut off without one could not go on. The
+// caller holds mu.
+func (r *Relay) moveStreams(endpoint string, routers int) {
 	for t := range r.live[endpoint] {
-		// The retry is paid for first: a stream that was cut off without one
-		// could not go on.
 		if t.movable() && r.budget(t.job.Service, routers).Allow(r.now()) {
 			t.cancel(errMoved)
 		}
 	}
 }
 
-// Running returns the requests that all routers have at an endpoint.
-func (r *Relay) Running(endpoint string) int {
+// Running returns the requests that all routers have at an endpoint, and how many
+// of them may take seconds.
+func (r *Relay) Running(endpoint string) (all, long int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.selector.Running(endpoint)
+	return r.selector.Running(endpoint), r.selector.Long(endpoint)
 }
 
 // track notes a try under way, or its end.
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -253,7 +253,7 @@
 	r := t.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.selector.Ended(r.now(), t.choice, outcome)
+	r.selector.Ended(r.now(), t.request(), t.choice, outcome)
 	if res.kind == done {
 		r.strikes.Completed(t.fingerprint)
 	}
--- a/modules/upgrade/change.go
+++ b/modules/upgrade/change.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/arbutusline/arbutusline/api/arbutuspb"
 	"github.com/arbutusline/arbutusline/modules/upstream"
 	"github.com/arbutusline/arbutusline/platform"
 )
@@ -17,11 +18,15 @@
 	// announceLead is the time that the other routers have to take the news
 	// before the order is sent: some round trips within a region.
 	announceLead = 15 * time.Millisecond
+	// prepareStep is the time between two looks at the long requests of an engine,
+	// and prepareLimit how long their end is awaited.
+	prepareStep  = 40 * time.Millisecond
+	prepareLimit = 2500 * time.Millisecond
 	// pollEvery is the time between two reports while weights change.
 	pollEvery = 120 * time.Millisecond
 	// changeTimeout bounds one change; running requests end and a load takes
 	// under a second, longer when several engines load.
-	changeTimeout = 8 * time.Second
+	changeTimeout = 10 * time.Second
 	// repeatOrder is how long an unanswered order may show no effect before it
 	// is sent again.
 	repeatOrder = 800 * time.Millisecond
@@ -52,8 +57,9 @@
 func (u *Upgrade) change(ctx context.Context, s step) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	u.exchange.Announce(s.endpoint.ID, s.model, s.version, false)
-	sleep(ctx, announceLead)
+	if !u.prepare(ctx, s) {
+		return
+	}
 	var orderedAt, emptyAt time.Time
 	misses := 0
 	for ctx.Err() == nil {
@@ -91,6 +97,23 @@
 	}
 }
 
+// prepare keeps requests away from the engine, long ones first, so that it takes
+// the others until shortly before its load. It returns false when ctx ended.
+func (u *Upgrade) prepare(ctx context.Context, s step) bool {
+	u.exchange.Announce(s.endpoint.ID, s.model, s.version, arbutuspb.ChangeStage_CHANGE_STAGE_SOON)
+	begun := time.Now()
+	for ctx.Err() == nil {
+		sleep(ctx, prepareStep)
+		_, long := u.relay.Running(s.endpoint.ID)
+		if (long == 0 || time.Since(begun) > prepareLimit) && u.enter(s) {
+			break
+		}
+	}
+	u.exchange.Announce(s.endpoint.ID, s.model, s.version, arbutuspb.ChangeStage_CHANGE_STAGE_NOW)
+	sleep(ctx, announceLead)
+	return ctx.Err() == nil
+}
+
 // postpone lets other engines go first.
 func (u *Upgrade) postpone(s step) {
 	u.mu.Lock()
@@ -109,7 +132,7 @@
 		entry = entry.WithField("since_empty_ms", time.Since(emptyAt).Milliseconds())
 	}
 	entry.Info("weights changed")
-	u.exchange.Announce(s.endpoint.ID, s.model, version, true)
+	u.exchange.Announce(s.endpoint.ID, s.model, version, arbutuspb.ChangeStage_CHANGE_STAGE_DONE)
 }
 
 // report asks the engine for its state.
--- a/modules/upgrade/upgrade.go
+++ b/modules/upgrade/upgrade.go
@@ -5,6 +5,7 @@
 package upgrade
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"sort"
@@ -55,15 +56,11 @@
 	// as many engines wait for their running requests to end.
 	concurrentShare = 28
 	minConcurrent   = 3
-	// urgentShare and minUrgent apply once an engine has had old weights for half
-	// of the time limit.
-	urgentShare = 45
-	minUrgent   = 5
 )
 
 func init() {
 	arbutusline.Register(func() arbutusline.Module {
-		return &Upgrade{TurnPause: settings.Duration(3 * time.Second), TimeLimit: settings.Duration(8 * time.Second)}
+		return &Upgrade{TurnPause: settings.Duration(3 * time.Second)}
 	})
 }
 
@@ -73,9 +70,6 @@
 	Holder string `json:"holder"`
 	// TurnPause is the least time between orders of two holders. Default 3s.
 	TurnPause settings.Duration `json:"turn_pause"`
-	// TimeLimit is the time in which all engines should have new weights.
-	// Default 8s.
-	TimeLimit settings.Duration `json:"time_limit"`
 
 	log       *logrus.Entry
 	directory *directory.Directory
@@ -89,6 +83,8 @@
 	mu     sync.Mutex
 	lease  *lease.Machine
 	leader bool
+	// active holds the engines that are being changed; true once they take no
+	// requests.
 	active map[string]bool
 	// postponed holds the engines that do not answer, until when.
 	postponed map[string]time.Time
@@ -144,8 +140,8 @@
 	if u.Holder == "" {
 		return errors.New("holder is required")
 	}
-	if u.TurnPause <= 0 || u.TimeLimit <= 0 {
-		return errors.New("turn_pause and time_limit must be positive")
+	if u.TurnPause <= 0 {
+		return errors.New("turn_pause must be positive")
 	}
 	return nil
 }
@@ -271,7 +267,7 @@
 			continue
 		}
 		endpoints := v.ByService[name]
-		running, urgent := 0, false
+		soon := 0
 		var need []step
 		for _, e := range endpoints {
 			for model, version := range e.Weights {
@@ -279,10 +275,10 @@
 				if version >= s.version || e.State != fleet.Ready {
 					continue
 				}
-				at, _ := v.Superseded(model, version)
-				urgent = urgent || time.Since(at) > u.TimeLimit.D()/2
-				if u.active[s.key()] {
-					running++
+				if now, ok := u.active[s.key()]; ok {
+					if !now {
+						soon++
+					}
 					continue
 				}
 				if time.Now().After(u.postponed[s.key()]) {
@@ -291,40 +287,57 @@
 			}
 		}
 		sortSteps(need, u.relay)
-		room := concurrent(len(endpoints), urgent) - running
+		room := concurrent(len(endpoints)) - soon
 		out = append(out, need[:min(len(need), max(0, room))]...)
 	}
 	return out
 }
 
-// concurrent returns how many of a service's engines change at once.
-func concurrent(engines int, urgent bool) int {
-	if urgent {
-		return max(minUrgent, engines*urgentShare/100)
+// concurrent returns how many of a service's engines change at once, and how many
+// prepare for it.
+func concurrent(engines int) int { return max(minConcurrent, engines*concurrentShare/100) }
+
+// enter reports whether an engine that is prepared may change now, and counts it.
+func (u *Upgrade) enter(s step) bool {
+	engines := u.directory.View().ByService[s.endpoint.Service]
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	changing := 0
+	for _, e := range engines {
+		if u.active[step{endpoint: e, model: s.model}.key()] {
+			changing++
+		}
 	}
-	return max(minConcurrent, engines*concurrentShare/100)
+	if changing >= concurrent(len(engines)) {
+		return false
+	}
+	u.active[s.key()] = true
+	return true
 }
 
 // sortSteps puts the engines with the oldest weights first, because each version
 // has its own time limit, and then those with the least work, which are empty
 // first.
-func sortSteps(steps []step, work interface{ Running(endpoint string) int }) {
+func sortSteps(steps []step, r *relay.Relay) {
 	sort.Slice(steps, func(i, j int) bool {
 		a, b := steps[i], steps[j]
 		if av, bv := a.endpoint.Weights[a.model], b.endpoint.Weights[b.model]; av != bv {
 			return av < bv
 		}
-		return work.Running(a.endpoint.ID) < work.Running(b.endpoint.ID)
+		aRunning, aLong := r.Running(a.endpoint.ID)
+		bRunning, bLong := r.Running(b.endpoint.ID)
+		return cmp.Or(cmp.Compare(aLong, bLong), cmp.Compare(aRunning, bRunning)) < 0
 	})
 }
 
 func (u *Upgrade) begin(ctx context.Context, s step) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if _, leads := u.lease.MayOrder(clock()); !leads || u.active[s.key()] {
+	_, known := u.active[s.key()]
+	if _, leads := u.lease.MayOrder(clock()); !leads || known {
 		return
 	}
-	u.active[s.key()] = true
+	u.active[s.key()] = false
 	u.done.Go(func() {
 		u.change(ctx, s)
 		u.mu.Lock()
