Make news of weights reach every router

Cause: the news that an engine has its weights was carried by six messages, which could all go to the same routers; the others kept requests away from it for six seconds. News is now carried for two seconds, and an endpoint that is seen with the version takes requests at once.

--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -37,9 +37,9 @@
 	suspensions int
 	until       time.Duration
 	trial       bool
-	swapUntil   time.Duration
-	soonUntil   time.Duration
-	busyUntil   time.Duration
+	// swap is the change of weights that the endpoint prepares for or makes.
+	swap      swap
+	busyUntil time.Duration
 }
 
 func (s *Selector) endpoint(id string) *endpointState {
@@ -51,7 +51,22 @@
 	return st
 }
 
-func (st *endpointState) swapping(now time.Duration) bool { return now < st.swapUntil }
+// swap is a change of weights.
+type swap struct {
+	model   string
+	version uint64
+	// soonUntil and nowUntil are how long the endpoint takes no long requests
+	// and no requests, unless it has the version before.
+	soonUntil, nowUntil time.Duration
+}
+
+func (st *endpointState) swapping(now time.Duration, e *fleet.Endpoint) bool {
+	return now < st.swap.nowUntil && e.Weights[st.swap.model] < st.swap.version
+}
+
+func (st *endpointState) swapsSoon(now time.Duration, e *fleet.Endpoint) bool {
+	return now < st.swap.soonUntil && e.Weights[st.swap.model] < st.swap.version
+}
 
 // admits reports whether an endpoint that failed may be used: after its
 // suspension one request at a time tries it, for some seconds only one that may
@@ -193,13 +208,14 @@
 }
 
 // Swapping keeps requests away from an endpoint whose weights are about to
-// change, until Swapped or a time limit. It reports whether this is news.
-func (s *Selector) Swapping(now time.Duration, endpoint string) bool {
+// change, until it has the version or a time limit. It reports whether this is
+// news.
+func (s *Selector) Swapping(now time.Duration, endpoint, model string, version uint64) bool {
 	st := s.endpoint(endpoint)
-	if now < st.swapUntil {
+	if st.swap.version == version && now < st.swap.nowUntil {
 		return false
 	}
-	st.swapUntil = now + maxSwap
+	st.swap = swap{model: model, version: version, nowUntil: now + maxSwap}
 	return true
 }
 
@@ -211,12 +227,12 @@
 
 // SwappingSoon keeps long requests away from an endpoint that changes its weights
 // next. It reports whether this is news.
-func (s *Selector) SwappingSoon(now time.Duration, endpoint string) bool {
+func (s *Selector) SwappingSoon(now time.Duration, endpoint, model string, version uint64) bool {
 	st := s.endpoint(endpoint)
-	if now < st.soonUntil || st.swapping(now) {
+	if st.swap.version == version && (now < st.swap.soonUntil || now < st.swap.nowUntil) {
 		return false
 	}
-	st.soonUntil = now + maxSwap
+	st.swap = swap{model: model, version: version, soonUntil: now + maxSwap}
 	return true
 }
 
@@ -230,10 +246,10 @@
 // effect.
 func (s *Selector) Swapped(endpoint string) {
 	st := s.state[endpoint]
-	if st == nil || st.swapUntil == 0 {
+	if st == nil || st.swap.version == 0 {
 		return
 	}
-	st.swapUntil, st.soonUntil = 0, 0
+	st.swap = swap{}
 	s.parts.drop(endpoint)
 }
 
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -126,7 +126,7 @@
 			continue
 		}
 		st := s.endpoint(e.ID)
-		if st.swapping(now) || now < st.soonUntil && r.Long() || now < st.busyUntil || !st.admits(now, r.Repeatable) || st.full(e) {
+		if st.swapping(now, e) || r.Long() && st.swapsSoon(now, e) || now < st.busyUntil || !st.admits(now, r.Repeatable) || st.full(e) {
 			continue
 		}
 		c := s.cost(now, wall, v, r, chain, &src, e, st)
@@ -193,9 +193,9 @@
 
 const (
 	// movedFactor multiplies the cost of old weights for streams that have moved.
-	movedFactor = 3
+	movedFactor = 4
 	// expiredFactor multiplies the cost of weights past their limit.
-	expiredFactor = 6
+	expiredFactor = 10
 )
 
 func (s *Selector) reading(tokens float64) time.Duration {
@@ -271,7 +271,7 @@
 		if e == nil || c.read == 0 || e.Weights[r.Prompt.Model] != c.weights {
 			continue
 		}
-		if st := s.endpoint(id); st.swapping(now) || st.suspensions > 0 {
+		if st := s.endpoint(id); st.swapping(now, e) || st.suspensions > 0 {
 			continue
 		}
 		better := c.weights > best.weights || c.weights == best.weights && c.read > best.tokens
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -43,11 +43,11 @@
 	// minConnect and maxBackoff bound the time between two connections.
 	minConnect = 500 * time.Millisecond
 	maxBackoff = time.Second
-	// changeRepeats is the number of rounds that carry a change of weights.
-	changeRepeats = 6
-	// partRepeats is the number of messages that carry news of a part: two
-	// rounds with the usual number of routers.
-	partRepeats = 6
+	// changeLife is how long each message carries a change of weights: the calls
+	// that follow an announcement reach every router that answers.
+	changeLife = 2 * time.Second
+	// partLife is how long each message carries a part: some rounds.
+	partLife = 500 * time.Millisecond
 	// maxStrikes bounds the strikes in one message.
 	maxStrikes = 64
 )
@@ -99,13 +99,13 @@
 }
 
 type change struct {
-	news  *arbutuspb.WeightsChange
-	sends int
+	news *arbutuspb.WeightsChange
+	at   time.Time
 }
 
 type heldNews struct {
-	news  *arbutuspb.HeldParts
-	sends int
+	news *arbutuspb.HeldParts
+	at   time.Time
 }
 
 // ModuleName returns "exchange".
@@ -197,7 +197,7 @@
 			kept = append(kept, c)
 		}
 	}
-	x.changes = append(kept, &change{news, changeRepeats})
+	x.changes = append(kept, &change{news, time.Now()})
 	x.mu.Unlock()
 	x.take(news)
 	select {
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/arbutusline/arbutusline/api/arbutuspb"
@@ -43,35 +44,27 @@
 	return out
 }
 
-// outgoing returns the news that are told several times. Each round collects
-// the parts that were read since the last one.
+// outgoing returns the news of the last moments, with the parts that were read
+// since the last message.
 func (x *Exchange) outgoing() ([]*arbutuspb.WeightsChange, []*arbutuspb.HeldParts) {
 	fresh := x.relay.NewParts()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, h := range fresh {
 		x.parts = append(x.parts, &heldNews{
-			news: &arbutuspb.HeldParts{Endpoint: h.Endpoint, Weights: h.Weights, Keys: h.Keys, Read: h.Read}, sends: partRepeats,
+			news: &arbutuspb.HeldParts{Endpoint: h.Endpoint, Weights: h.Weights, Keys: h.Keys, Read: h.Read}, at: time.Now(),
 		})
 	}
-	var changes []*arbutuspb.WeightsChange
-	keptChanges := x.changes[:0]
+	x.changes = slices.DeleteFunc(x.changes, func(c *change) bool { return time.Since(c.at) > changeLife })
+	x.parts = slices.DeleteFunc(x.parts, func(h *heldNews) bool { return time.Since(h.at) > partLife })
+	changes := make([]*arbutuspb.WeightsChange, 0, len(x.changes))
 	for _, c := range x.changes {
 		changes = append(changes, c.news)
-		if c.sends--; c.sends > 0 {
-			keptChanges = append(keptChanges, c)
-		}
 	}
-	x.changes = keptChanges
-	var parts []*arbutuspb.HeldParts
-	keptParts := x.parts[:0]
+	parts := make([]*arbutuspb.HeldParts, 0, len(x.parts))
 	for _, h := range x.parts {
 		parts = append(parts, h.news)
-		if h.sends--; h.sends > 0 {
-			keptParts = append(keptParts, h)
-		}
 	}
-	x.parts = keptParts
 	return changes, parts
 }
 
@@ -134,8 +127,8 @@
 		return
 	}
 	if c.GetStage() == arbutuspb.ChangeStage_CHANGE_STAGE_SOON {
-		x.relay.SwappingSoon(c.GetEndpoint())
+		x.relay.SwappingSoon(c.GetEndpoint(), c.GetModel(), c.GetVersion())
 		return
 	}
-	x.relay.Swapping(c.GetEndpoint())
+	x.relay.Swapping(c.GetEndpoint(), c.GetModel(), c.GetVersion())
 }
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -131,7 +131,7 @@
 	// zoneCost is a round trip between availability zones.
 	zoneCost = 3 * time.Millisecond
 	// oldWeightsCost outweighs the reading of the longest shared prompts.
-	oldWeightsCost = 300 * time.Millisecond
+	oldWeightsCost = 80 * time.Millisecond
 	// oldWeightsGrace is the time within which new weights have no advantage
 	// for callers.
 	oldWeightsGrace = time.Second
@@ -239,22 +239,22 @@
 
 // SwappingSoon keeps long requests away from an endpoint that changes its weights
 // next, and moves the streams there that may go on elsewhere.
-func (r *Relay) SwappingSoon(endpoint string) {
+func (r *Relay) SwappingSoon(endpoint, model string, version uint64) {
 	routers := len(r.directory.Routers()) + 1
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.selector.SwappingSoon(r.now(), endpoint) {
+	if r.selector.SwappingSoon(r.now(), endpoint, model, version) {
 		r.moveStreams(endpoint, routers)
 	}
 }
 
 // Swapping keeps requests away from an endpoint that is about to change its
 // weights, and moves the streams there that may go on elsewhere.
-func (r *Relay) Swapping(endpoint string) {
+func (r *Relay) Swapping(endpoint, model string, version uint64) {
 	routers := len(r.directory.Routers()) + 1
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.selector.Swapping(r.now(), endpoint) {
+	if r.selector.Swapping(r.now(), endpoint, model, version) {
 		r.moveStreams(endpoint, routers)
 	}
 }
