--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -134,7 +134,7 @@
 			best, found = c, true
 		}
 	}
-	if found && r.Prompt != nil && s.store != "" {
+	if false && found && r.Prompt != nil && s.store != "" {
 		if held := s.covers[StoreID]; held.weights != best.Weights || held.tokens < r.Prompt.SharedTokens() {
 			best.SaveTo = s.store
 		}
