--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -134,7 +134,7 @@
 			best, found = c, true
 		}
 	}
-	if false && found && r.Prompt != nil && s.store != "" {
+	if found && r.Prompt != nil && s.store != "" {
 		if held := s.covers[StoreID]; held.weights != best.Weights || held.tokens < r.Prompt.SharedTokens() {
 			best.SaveTo = s.store
 		}
@@ -154,22 +154,22 @@
 	}
 	model := r.Prompt.Model
 	c.Weights = e.Weights[model]
-	if at, old := v.Superseded(model, c.Weights); old {
-		cost += s.oldWeights(wall.Sub(at), r.Moved)
-	}
 	if held := s.covers[e.ID]; held.weights == c.Weights {
 		c.CachedTokens = held.tokens
 	}
 	own := r.Prompt.InputTokens - r.Prompt.SharedTokens()
 	missing := r.Prompt.SharedTokens() - c.CachedTokens
+	wait := s.reading(float64(st.unread + st.remoteUnread))
+	cost += wait + s.cfg.RunCost*time.Duration(st.running+st.remoteRunning)
+	if at, old := v.Superseded(model, c.Weights); old {
+		cost += s.oldWeights(wall.Sub(at), wait, r.Moved)
+	}
 	if fetched := src.tokens - c.CachedTokens; src.address != "" && src.weights == c.Weights && fetched >= minFetchTokens {
 		missing -= fetched
 		cost += time.Duration(float64(fetched) / s.cfg.FetchTokensPerMs * float64(time.Millisecond))
 		c.FetchFrom = src.address
 	}
 	cost += s.reading(float64(own) + float64(missing)*s.cfg.RereadFactor)
-	cost += s.reading(float64(st.unread + st.remoteUnread))
-	cost += s.cfg.RunCost * time.Duration(st.running+st.remoteRunning)
 	if c.CachedTokens < r.Prompt.SharedTokens() {
 		cost += src.homeCost(e.ID)
 	}
@@ -178,10 +178,11 @@
 }
 
 // oldWeights is the cost of running on weights that were superseded some time
-// ago. A stream that has moved would hold up the change of another endpoint.
-func (s *Selector) oldWeights(age time.Duration, moved bool) time.Duration {
+// ago for a request that starts after about the wait. A stream that has moved
+// would hold up the change of another endpoint.
+func (s *Selector) oldWeights(age, wait time.Duration, moved bool) time.Duration {
 	switch {
-	case age > s.cfg.OldWeightsLimit:
+	case age+2*wait > s.cfg.OldWeightsLimit:
 		return s.cfg.OldWeightsCost * expiredFactor
 	case moved:
 		return s.cfg.OldWeightsCost * movedFactor
@@ -195,7 +196,7 @@
 	// movedFactor multiplies the cost of old weights for streams that have moved.
 	movedFactor = 4
 	// expiredFactor multiplies the cost of weights past their limit.
-	expiredFactor = 10
+	expiredFactor = 25
 )
 
 func (s *Selector) reading(tokens float64) time.Duration {
