Test arbutus-front against a stand-in of the platform

The stand-in has the store with watches, dropped history, lost answers and a gate for each caller, and workers that shed, fail, reset, cut or answer another request first.

--- /dev/null
+++ b/cmd/arbutus-front/cluster_test.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/settings"
+	"github.com/arbutusline/arbutusline/standin/platform"
+)
+
+// cluster is a store, its workers and the routers under test, all on loopback.
+type cluster struct {
+	t       *testing.T
+	store   *platform.Store
+	workers map[string]*httptest.Server
+	fronts  []*front
+}
+
+type front struct {
+	kernel *arbutusline.Kernel
+	ip     string
+	url    string
+	ready  string
+	// gate is the router's way to the store.
+	gate *platform.Gate
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{t: t, store: &platform.Store{}, workers: map[string]*httptest.Server{}}
+	c.configure(1, nil)
+	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 1})
+	return c
+}
+
+// configure writes a configuration; change may alter it first.
+func (c *cluster) configure(version int, change func(map[string]any)) {
+	route := func(name, prefix, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "desk.example", "path_prefix": prefix, "route_type": kind, "service": service,
+			"timeout_ms": 5000, "target_latency_ms": 400, "priority": 1, "max_attempts": attempts, "resumable": resumable,
+		}
+	}
+	config := map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			route("post", "/post/", "non_idempotent", "app", 1, false),
+			route("look", "/look/", "idempotent", "app", 2, false),
+			route("ask", "/ask/", "stream", "llm", 2, true),
+			route("audit", "/audit/", "stream", "llm", 1, false),
+		},
+		"services": []map[string]any{
+			{"name": "app", "max_connections": 100},
+			{"name": "llm", "max_connections": 100, "engine": map[string]any{
+				"slots": 8, "kv_capacity_tokens": 100000, "kv_token_bytes": 1000, "models": []map[string]any{{"name": "m"}},
+			}},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{"name": "open", "api_keys": []string{"key-1"}}, {"name": "walled", "api_keys": []string{"key-2"}, "isolated": true}},
+	}
+	if change != nil {
+		change(config)
+	}
+	c.store.Put("config", "main", config)
+}
+
+// worker starts a worker and registers it.
+func (c *cluster) worker(w *platform.Worker) *platform.Worker {
+	if w.Model != "" {
+		w.SetWeights(1)
+	}
+	server := httptest.NewServer(w)
+	c.t.Cleanup(server.Close)
+	c.workers[w.ID] = server
+	c.announce(w, "ready")
+	return w
+}
+
+func (c *cluster) announce(w *platform.Worker, state string) {
+	address := strings.TrimPrefix(c.workers[w.ID].URL, "http://")
+	c.store.Put("servers", w.ID, w.Entry(address, "a", state))
+}
+
+// front starts a router on its own loopback address.
+func (c *cluster) front() *front {
+	n := len(c.fronts) + 2
+	f := &front{ip: fmt.Sprintf("127.0.0.%d", n), gate: &platform.Gate{Store: c.store}}
+	server := httptest.NewServer(f.gate)
+	c.t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	port := c.freePort(f.ip)
+	f.url, f.ready = "http://"+f.ip+":"+port[0], "http://"+f.ip+":"+port[1]
+	text := fmt.Sprintf(`{
+		"log": {"level": "debug"},
+		"node": {"id": "front-%d", "role": "router", "zone": "a"},
+		"admin": {"listen": "%s:%s"},
+		"grpc": {"listen": "%s:%s"},
+		"directory": {"store": %q, "advertise": "%s:%s"},
+		"upgrade": {"holder": %q, "turn_pause": "300ms"},
+		"ingress": {"listen": "%s:%s", "linger": "200ms"}
+	}`, n, f.ip, port[1], f.ip, port[2], address, f.ip, port[2], f.ip, f.ip, port[0])
+	file, err := settings.Parse([]byte(text))
+	assert.NilError(c.t, err)
+	log := logrus.New()
+	log.SetOutput(testWriter{c.t})
+	f.kernel = arbutusline.New(file, log.WithField("front", n))
+	assert.NilError(c.t, f.kernel.Load(modules...))
+	assert.NilError(c.t, f.kernel.Start(context.Background()))
+	c.t.Cleanup(func() { f.stop(c.t) })
+	c.fronts = append(c.fronts, f)
+	c.eventually("front is ready", func() bool { return status(f.ready+"/readyz") == http.StatusOK })
+	return f
+}
+
+func (f *front) stop(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	assert.Check(t, f.kernel.Stop(ctx))
+}
+
+// freePort returns three ports that are free on the address.
+func (c *cluster) freePort(ip string) [3]string {
+	var out [3]string
+	for i := range out {
+		l, err := net.Listen("tcp", ip+":0")
+		assert.NilError(c.t, err)
+		_, out[i], err = net.SplitHostPort(l.Addr().String())
+		assert.NilError(c.t, err)
+		assert.NilError(c.t, l.Close())
+	}
+	return out
+}
+
+func (c *cluster) eventually(what string, f func() bool) {
+	c.t.Helper()
+	for range 1000 {
+		if f() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatalf("never: %s", what)
+}
+
+func status(url string) int {
+	r, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = r.Body.Close()
+	return r.StatusCode
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends a request of the team with key-1.
+func (f *front) call(id, method, path, body string, headers ...string) reply {
+	r, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	r.Host = "desk.example"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", "5000")
+	r.Header.Set("Authorization", "Token key-1")
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	return reply{answer.StatusCode, answer.Header, string(text), err}
+}
+
+func (f *front) ask(id, path string, headers ...string) reply {
+	return f.call(id, http.MethodPost, path, "prompt", append([]string{
+		"Model", "m", "Token-Count", "1460,200", "Prefix-Hash", "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+	}, headers...)...)
+}
+
+// events returns the ids of a stream's events.
+func (r reply) events() []string {
+	var out []string
+	scanner := bufio.NewScanner(strings.NewReader(r.body))
+	for scanner.Scan() {
+		if id, ok := strings.CutPrefix(scanner.Text(), "id: "); ok {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// testWriter sends log lines to the test's log.
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(p []byte) (int, error) {
+	w.t.Log(strings.TrimSpace(string(p)))
+	return len(p), nil
+}
--- /dev/null
+++ b/cmd/arbutus-front/front_test.go
@@ -0,0 +1,265 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutusline/arbutusline/standin/platform"
+)
+
+func app(id string) *platform.Worker { return &platform.Worker{ID: id, Service: "app"} }
+
+func engine(id string) *platform.Worker {
+	return &platform.Worker{ID: id, Service: "llm", Model: "m", Events: 10, Gap: time.Millisecond, LoadTime: 50 * time.Millisecond}
+}
+
+func wantEvents(t *testing.T, r reply) {
+	t.Helper()
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusOK)
+	events := r.events()
+	assert.Equal(t, len(events), 10, "%v", events)
+	for i, id := range events {
+		assert.Equal(t, id, strconv.Itoa(i+1))
+	}
+}
+
+// The whole path: an answer must be the endpoint's own, with its signature, and
+// the endpoint must see the team and never the key.
+func TestServesAllKindsOfRoute(t *testing.T) {
+	c := newCluster(t)
+	plain, model := c.worker(app("a1")), c.worker(engine("e1"))
+	f := c.front()
+	r := f.call("r1", http.MethodPost, "/post/x?q=1", "entry")
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusOK)
+	assert.Equal(t, r.body, "answer to r1")
+	assert.Equal(t, r.header.Get("Server-Stamp"), "a1.r1")
+	run := plain.Runs()[0]
+	assert.Equal(t, run.Team, "open")
+	assert.Equal(t, run.Path, "/post/x?q=1")
+	assert.Equal(t, run.Body, "entry")
+	left, err := strconv.Atoi(run.Deadline)
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left <= 5000)
+	wantEvents(t, f.ask("r2", "/ask/x"))
+	assert.Equal(t, model.Runs()[0].Namespace, "1/")
+	wantEvents(t, f.ask("r3", "/ask/x", "Authorization", "Token key-2"))
+	assert.Equal(t, model.Runs()[1].Namespace, "1/walled")
+}
+
+// A caller without a valid key or route must be told so, and nothing may run.
+func TestRefusesWhatTheConfigurationDoesNotAllow(t *testing.T) {
+	c := newCluster(t)
+	plain := c.worker(app("a1"))
+	f := c.front()
+	assert.Equal(t, f.call("r1", http.MethodGet, "/look/x", "", "Authorization", "Token nobody").status, http.StatusUnauthorized)
+	assert.Equal(t, f.call("r2", http.MethodGet, "/elsewhere/x", "").status, http.StatusNotFound)
+	assert.Equal(t, f.call("r3", http.MethodGet, "/look/x", "", "Deadline-Ms", "soon").status, http.StatusBadRequest)
+	assert.Equal(t, len(plain.Runs()), 0)
+}
+
+// Work that may not be repeated runs at most once, whatever its endpoint does
+// after it began; a refusal that says it has not run must be true.
+func TestNonIdempotentWorkRunsAtMostOnce(t *testing.T) {
+	c := newCluster(t)
+	workers := []*platform.Worker{c.worker(app("a1")), c.worker(app("a2"))}
+	f := c.front()
+	for i, fault := range []platform.Fault{platform.FaultReset, platform.FaultCut, platform.FaultError, platform.FaultShed} {
+		for _, w := range workers {
+			w.Fail(1, fault)
+		}
+		id := fmt.Sprintf("r%d", i)
+		r := f.call(id, http.MethodPost, "/post/x", "entry")
+		ran := workers[0].RunsOf(id) + workers[1].RunsOf(id)
+		assert.NilError(t, r.err)
+		assert.Assert(t, ran <= 1, "%s: ran %d times", fault, ran)
+		if r.status == http.StatusServiceUnavailable {
+			assert.Equal(t, ran, 0, "%s: refused though it ran", fault)
+		}
+		for _, w := range workers {
+			w.Fail(0, "")
+		}
+	}
+}
+
+// Idempotent calls get the answer of a second endpoint after any failure.
+func TestIdempotentCallsAreRetried(t *testing.T) {
+	c := newCluster(t)
+	a1, a2 := c.worker(app("a1")), c.worker(app("a2"))
+	f := c.front()
+	for i, fault := range []platform.Fault{platform.FaultReset, platform.FaultCut, platform.FaultError, platform.FaultShed} {
+		a1.Fail(1, fault)
+		a2.Fail(0, "")
+		for n := range 4 {
+			r := f.call(fmt.Sprintf("r%d-%d", i, n), http.MethodGet, "/look/x", "")
+			assert.NilError(t, r.err)
+			assert.Equal(t, r.status, http.StatusOK, "%s", fault)
+		}
+	}
+}
+
+// An answer to another request that arrives first must not reach the caller.
+func TestForeignAnswerIsSkipped(t *testing.T) {
+	c := newCluster(t)
+	c.worker(app("a1")).Fail(1, platform.FaultForeign)
+	f := c.front()
+	r := f.call("r1", http.MethodGet, "/look/x", "")
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.body, "answer to r1")
+}
+
+// A resumable stream whose endpoint dies inside an event goes on elsewhere within
+// the same answer, without a missing, repeated or half event. A stream that may
+// not be repeated must not look complete.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	c := newCluster(t)
+	e1, e2 := c.worker(engine("e1")), c.worker(engine("e2"))
+	f := c.front()
+	e1.Fail(1, platform.FaultCut)
+	e2.Fail(1, platform.FaultCut)
+	wantEvents(t, f.ask("r0", "/ask/x"))
+	e1.Fail(0, "")
+	e2.Fail(0, "")
+	e1.Fail(1, platform.FaultCut)
+	e2.Fail(1, platform.FaultCut)
+	r := f.ask("r1", "/audit/x")
+	assert.Assert(t, r.err != nil, "a stream that was cut looks complete")
+	assert.Equal(t, e1.RunsOf("r1")+e2.RunsOf("r1"), 1)
+}
+
+// New weights come into force everywhere, ordered by one router at a time with
+// rising tokens, and no stream is lost meanwhile.
+func TestWeightsChangeUnderLoad(t *testing.T) {
+	c := newCluster(t)
+	engines := []*platform.Worker{c.worker(engine("e1")), c.worker(engine("e2")), c.worker(engine("e3"))}
+	fronts := []*front{c.front(), c.front()}
+	var callers sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range 4 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				r := fronts[i%2].ask(fmt.Sprintf("c%d-%d", i, n), "/ask/x")
+				if r.status != http.StatusServiceUnavailable {
+					wantEvents(t, r)
+				}
+			}
+		})
+	}
+	for version := 2; version <= 3; version++ {
+		c.store.Put("versions", "m", map[string]any{"model": "m", "version": version})
+		c.eventually("all engines have the version", func() bool {
+			for _, e := range engines {
+				if e.Weights() != uint64(version) {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	close(stop)
+	callers.Wait()
+	for _, e := range engines {
+		fences := e.Fences()
+		for i := 1; i < len(fences); i++ {
+			assert.Assert(t, fences[i] >= fences[i-1], "fencing tokens %v", fences)
+		}
+		for _, r := range e.Runs() {
+			assert.Equal(t, r.Namespace, fmt.Sprintf("%d/", r.Weights), "cache of other weights")
+		}
+	}
+}
+
+// A router that the store turns away must learn of a configuration and of a
+// leaving endpoint from the other routers.
+func TestRouterCutOffFromTheStoreLearnsFromOthers(t *testing.T) {
+	c := newCluster(t)
+	a1, a2 := c.worker(app("a1")), c.worker(app("a2"))
+	first, cut := c.front(), c.front()
+	c.eventually("routers know each other", func() bool { return c.store.Calls(http.MethodPost, "arbutus-routers") >= 2 })
+	cut.gate.Close()
+	c.configure(2, func(config map[string]any) {
+		config["tenants"] = []map[string]any{{"name": "open", "api_keys": []string{"key-new"}}}
+	})
+	c.announce(a1, "draining")
+	c.eventually("the key is refused", func() bool {
+		return cut.call("k", http.MethodGet, "/look/x", "").status == http.StatusUnauthorized
+	})
+	assert.Equal(t, first.call("k2", http.MethodGet, "/look/x", "").status, http.StatusUnauthorized)
+	c.eventually("the leaving endpoint gets no work", func() bool {
+		before := len(a1.Runs())
+		for i := range 4 {
+			cut.call(fmt.Sprintf("d%d", i), http.MethodGet, "/look/x", "", "Authorization", "Token key-new")
+		}
+		return len(a1.Runs()) == before && len(a2.Runs()) > 0
+	})
+}
+
+// After the store dropped its history a waiting watch hears nothing; the change
+// that was made meanwhile must still arrive.
+func TestChangeIsFoundAfterTheHistoryIsDropped(t *testing.T) {
+	c := newCluster(t)
+	c.worker(app("a1"))
+	f := c.front()
+	c.store.ChangeSilently(func() {
+		c.configure(2, func(config map[string]any) {
+			config["tenants"] = []map[string]any{{"name": "open", "api_keys": []string{"key-new"}}}
+		})
+	})
+	c.eventually("the new configuration is in force", func() bool {
+		return f.call("r", http.MethodGet, "/look/x", "").status == http.StatusUnauthorized
+	})
+}
+
+// A graceful shutdown must cut no stream and refuse readiness at once.
+func TestShutdownCutsNoStream(t *testing.T) {
+	c := newCluster(t)
+	slow := engine("e1")
+	slow.Gap = 60 * time.Millisecond
+	c.worker(slow)
+	f := c.front()
+	got := make(chan reply, 1)
+	go func() { got <- f.ask("r1", "/audit/x") }()
+	c.eventually("the stream runs", func() bool { return len(slow.Runs()) == 1 })
+	f.stop(t)
+	wantEvents(t, <-got)
+	assert.Equal(t, status(f.ready+"/readyz"), 0)
+}
+
+// A request that breaks the connection of two endpoints must not reach a third.
+func TestRequestThatCrashesEndpointsIsRefused(t *testing.T) {
+	c := newCluster(t)
+	workers := []*platform.Worker{c.worker(app("a1")), c.worker(app("a2")), c.worker(app("a3"))}
+	f := c.front()
+	for _, w := range workers {
+		w.Fail(100, platform.FaultReset)
+	}
+	for i := range 5 {
+		f.call(fmt.Sprintf("r%d", i), http.MethodGet, "/look/deadly", "")
+	}
+	runs := 0
+	for _, w := range workers {
+		runs += len(w.Runs())
+	}
+	assert.Assert(t, runs <= 3, "reached endpoints %d times", runs)
+}
+
+// A lost answer to the registration must not keep a router from the others.
+func TestRegistrationSurvivesALostAnswer(t *testing.T) {
+	c := newCluster(t)
+	c.worker(app("a1"))
+	c.store.LoseWrites(1)
+	c.front()
+	c.eventually("the registration is repeated", func() bool { return c.store.Calls(http.MethodPut, "arbutus-routers") > 0 })
+}
--- a/cmd/arbutus-front/main.go
+++ b/cmd/arbutus-front/main.go
@@ -19,8 +19,13 @@
 	"github.com/arbutusline/arbutusline/process"
 )
 
+// modules are the modules of the program in the order in which they start. The
+// server for callers is the last to start and the first to stop.
+var modules = []string{
+	logging.Name, node.Name, admin.Name, grpcserver.Name, upstream.Name, directory.Name,
+	relay.Name, cacheevents.Name, exchange.Name, upgrade.Name, ingress.Name,
+}
+
 func main() {
-	os.Exit(process.Main("arbutus-front", "Routes callers' requests to endpoints without agents.",
-		logging.Name, node.Name, admin.Name, grpcserver.Name, upstream.Name, directory.Name,
-		relay.Name, cacheevents.Name, exchange.Name, upgrade.Name, ingress.Name))
+	os.Exit(process.Main("arbutus-front", "Routes callers' requests to endpoints without agents.", modules...))
 }
