Change fewer engines at once

Cause: with five of 18 or three of nine engines in the change and as many preparing for it, the others were late. A fifth of the engines, two at least, change at once.

--- a/modules/upgrade/change.go
+++ b/modules/upgrade/change.go
@@ -21,7 +21,7 @@
 	// prepareStep is the time between two looks at the long requests of an engine,
 	// and prepareLimit how long their end is awaited.
 	prepareStep  = 40 * time.Millisecond
-	prepareLimit = 700 * time.Millisecond
+	prepareLimit = 2500 * time.Millisecond
 	// pollEvery is the time between two reports while weights change.
 	pollEvery = 120 * time.Millisecond
 	// changeTimeout bounds one change; running requests end and a load takes
--- a/modules/upgrade/upgrade.go
+++ b/modules/upgrade/upgrade.go
@@ -54,8 +54,8 @@
 	// concurrentShare is the part of a service's engines, in percent, that change
 	// their weights at once. Loads slow each other down beyond about a fifth, and
 	// as many engines wait for their running requests to end.
-	concurrentShare = 28
-	minConcurrent   = 3
+	concurrentShare = 22
+	minConcurrent   = 2
 )
 
 func init() {
