--- a/kernel.go
+++ b/kernel.go
@@ -14,6 +14,9 @@
 type Kernel struct {
 	// Log is the process log. Modules add their fields to it.
 	Log *logrus.Entry
+	// DroppedLogLines returns how many log lines were dropped because the output
+	// did not take them. It may be nil.
+	DroppedLogLines func() uint64
 
 	settings settings.File
 	modules  []Module
--- a/modules/cacheevents/cacheevents.go
+++ b/modules/cacheevents/cacheevents.go
@@ -83,10 +83,6 @@
 	if err != nil {
 		return err
 	}
-	c.events = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "arbutus_cache_events_total", Help: "Cache events of engines by result: taken, unreadable, lost, failed calls.",
-	}, []string{"result"})
-	a.Registry().MustRegister(c.events)
 	if c.node, err = arbutusline.Lookup[*node.Node](k, node.Name); err != nil {
 		return err
 	}
@@ -99,6 +95,10 @@
 	if c.relay, err = arbutusline.Lookup[*relay.Relay](k, relay.Name); err != nil {
 		return err
 	}
+	c.events = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_cache_events_total", Help: "Cache events of engines by result: taken, unreadable, lost, failed calls.",
+	}, []string{"result"})
+	a.Registry().MustRegister(c.events)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.directory.Watch(c.onView)
 	return nil
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -120,23 +120,25 @@
 		return err
 	}
 	x.self = server.Address()
-	arbutuspb.RegisterRouterServer(server.Registrar(), x)
 	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
 	if err != nil {
 		return err
 	}
-	x.calls = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "arbutus_exchange_calls_total", Help: "Exchanges with other routers by result.",
-	}, []string{"result"})
-	a.Registry().MustRegister(x.calls)
 	if x.node, err = arbutusline.Lookup[*node.Node](k, node.Name); err != nil {
 		return err
 	}
 	if x.directory, err = arbutusline.Lookup[*directory.Directory](k, directory.Name); err != nil {
 		return err
 	}
-	x.relay, err = arbutusline.Lookup[*relay.Relay](k, relay.Name)
-	return err
+	if x.relay, err = arbutusline.Lookup[*relay.Relay](k, relay.Name); err != nil {
+		return err
+	}
+	x.calls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_exchange_calls_total", Help: "Exchanges with other routers by result.",
+	}, []string{"result"})
+	a.Registry().MustRegister(x.calls)
+	arbutuspb.RegisterRouterServer(server.Registrar(), x)
+	return nil
 }
 
 // Validate checks the settings.
--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -66,6 +66,7 @@
 	relay     *relay.Relay
 	server    *http.Server
 	stopping  atomic.Bool
+	sampler   sampler
 	refusals  *prometheus.CounterVec
 	inFlight  prometheus.Gauge
 }
@@ -313,11 +314,13 @@
 	if r.Reason != "" {
 		entry = entry.WithField("reason", r.Reason)
 	}
-	if r.Outcome == relay.OutcomeServed {
-		entry.Info("request ended")
+	if r.Outcome != relay.OutcomeServed || r.Reason != "" {
+		entry.Warn("request ended")
 		return
 	}
-	entry.Warn("request ended")
+	if ok, omitted := g.sampler.take(time.Now()); ok {
+		entry.WithField("omitted", omitted).Info("request ended")
+	}
 }
 
 func teamName(job *relay.Job) string {
--- a/modules/upgrade/upgrade.go
+++ b/modules/upgrade/upgrade.go
@@ -104,13 +104,6 @@
 	if err != nil {
 		return err
 	}
-	u.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "arbutus_weights_orders_total", Help: "Orders to change weights by result.",
-	}, []string{"result"})
-	u.leads = prometheus.NewGauge(prometheus.GaugeOpts{
-		Name: "arbutus_weights_order_lease_held", Help: "1 while this router may give orders.",
-	})
-	a.Registry().MustRegister(u.orders, u.leads)
 	if u.directory, err = arbutusline.Lookup[*directory.Directory](k, directory.Name); err != nil {
 		return err
 	}
@@ -128,6 +121,13 @@
 	if err != nil {
 		return err
 	}
+	u.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_weights_orders_total", Help: "Orders to change weights by result.",
+	}, []string{"result"})
+	u.leads = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "arbutus_weights_order_lease_held", Help: "1 while this router may give orders.",
+	})
+	a.Registry().MustRegister(u.orders, u.leads)
 	u.lease = lease.New(lease.Config{
 		Holder: u.Holder, Valid: valid, Renew: renew, Pause: u.TurnPause.D(), Margin: margin, Look: look,
 		Stagger: staggerStep * time.Duration(1+xxhash.Sum64String(n.ID)%staggerRanks),
--- a/process/process.go
+++ b/process/process.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/process/asynclog"
 	"github.com/arbutusline/arbutusline/settings"
 )
 
@@ -38,10 +39,12 @@
 	var f flags
 	kong.Parse(&f, kong.Name(program), kong.Description(description))
 	log := logrus.New()
-	log.SetOutput(os.Stderr)
+	out := asynclog.New(os.Stdout)
+	defer out.Close()
+	log.SetOutput(out)
 	entry := log.WithField("program", program)
 
-	kernel, err := load(f, entry, modules)
+	kernel, err := load(f, entry, out, modules)
 	if f.PrintSettings && kernel != nil {
 		printSettings(kernel)
 	}
@@ -62,12 +65,13 @@
 	return ExitOK
 }
 
-func load(f flags, log *logrus.Entry, modules []string) (*arbutusline.Kernel, error) {
+func load(f flags, log *logrus.Entry, out *asynclog.Writer, modules []string) (*arbutusline.Kernel, error) {
 	file, err := settings.Read(f.Settings)
 	if err != nil {
 		return nil, err
 	}
 	kernel := arbutusline.New(file, log)
+	kernel.DroppedLogLines = out.Dropped
 	return kernel, kernel.Load(modules...)
 }
 
