--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -32,7 +32,7 @@
 	arbutusline.Register(func() arbutusline.Module {
 		return &Relay{
 			PrefillTokensPerMs: 40, RetryRatio: 0.2, RetrySlack: 56,
-			RetryWindow: settings.Duration(budget.RetryWindow), OldWeightsLimit: settings.Duration(6 * time.Second),
+			RetryWindow: settings.Duration(budget.RetryWindow), OldWeightsLimit: settings.Duration(5 * time.Second),
 		}
 	})
 }
@@ -50,7 +50,7 @@
 	// RetryWindow must be 10s.
 	RetryWindow settings.Duration `json:"retry_window"`
 	// OldWeightsLimit is how long after newer weights were named requests may be
-	// sent to an engine with old ones if another one has room. Default 6s.
+	// sent to an engine with old ones if another one has room. Default 5s.
 	OldWeightsLimit settings.Duration `json:"old_weights_limit"`
 
 	log       *logrus.Entry
--- /dev/null
+++ b/sse/sse_test.go
@@ -0,0 +1,51 @@
+package sse
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+)
+
+// An event that arrives in pieces must come out whole, and half an event at the
+// end of a broken stream must not come out at all.
+func TestOnlyWholeEvents(t *testing.T) {
+	const text = "id: 1\ndata: a\n\nweight-versions: 2\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata:"
+	s := NewScanner(iotest.OneByteReader(strings.NewReader(text)))
+	var ids []string
+	var passed strings.Builder
+	for {
+		e, err := s.Next()
+		if err == io.EOF {
+			break
+		}
+		assert.NilError(t, err)
+		ids = append(ids, e.ID)
+		passed.Write(e.Raw)
+	}
+	assert.DeepEqual(t, ids, []string{"1", "2"})
+	assert.Equal(t, passed.String()+"id: 3\ndata:", text)
+	assert.Equal(t, s.Rest(), len("id: 3\ndata:"))
+}
+
+// An endpoint that never ends an event must not fill the memory.
+func TestEndlessEventIsRefused(t *testing.T) {
+	s := NewScanner(strings.NewReader("data: " + strings.Repeat("x", 2*MaxEventBytes)))
+	_, err := s.Next()
+	assert.ErrorIs(t, err, ErrTooLong)
+}
+
+// Long streams with large events must come out unchanged.
+func TestLargeEvents(t *testing.T) {
+	event := "id: 9\ndata: " + strings.Repeat("y", 3*readBytes) + "\n\n"
+	s := NewScanner(strings.NewReader(strings.Repeat(event, 5)))
+	for range 5 {
+		e, err := s.Next()
+		assert.NilError(t, err)
+		assert.Equal(t, string(e.Raw), event)
+	}
+	_, err := s.Next()
+	assert.Equal(t, err, io.EOF)
+}
