Use endpoints that answer with errors; find other routers sooner

After a loss of power a router that the store turned away had no configuration for a second: connections between routers are now tried after 0.1 s.

--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -36,7 +36,9 @@
 	inRow       int
 	suspensions int
 	until       time.Duration
-	trial       bool
+	// dead means that the last failure was an endpoint that did not answer.
+	dead  bool
+	trial bool
 	// swap is the change of weights that the endpoint prepares for or makes.
 	swap      swap
 	busyUntil time.Duration
@@ -68,6 +70,10 @@
 	return now < st.swap.soonUntil && e.Weights[st.swap.model] < st.swap.version
 }
 
+// lastResort reports whether a suspended endpoint may be used because no other
+// one is left: it answered, if badly.
+func (st *endpointState) lastResort() bool { return !st.dead && !st.trial }
+
 // admits reports whether an endpoint that failed may be used: after its
 // suspension one request at a time tries it, for some seconds only one that may
 // be repeated.
@@ -170,33 +176,59 @@
 	// Refused means that the endpoint did not run the request for its load or
 	// for a change of weights.
 	Refused
-	// Failed is an error answer or a broken one.
+	// Error is a whole answer that reports an error of the endpoint. Services
+	// answer some requests so while they are well.
+	Error
+	// Failed is a broken answer.
 	Failed
 	// Dead means that the endpoint could not be reached or did not answer.
 	Dead
 )
 
+// Change is how the end of a request changes the use of its endpoint.
+type Change int
+
+// Changes of use.
+const (
+	Unchanged Change = iota
+	// Suspended endpoints get no requests for some time.
+	Suspended
+	// Restored endpoints are used like all others again.
+	Restored
+)
+
 // Ended records the end of a request, after FirstEvent.
-func (s *Selector) Ended(now time.Duration, r *Request, c Choice, o Outcome) {
+func (s *Selector) Ended(now time.Duration, r *Request, c Choice, o Outcome) Change {
 	st := s.endpoint(c.Endpoint.ID)
 	st.running = max(0, st.running-1)
 	if r.Long() {
 		st.long = max(0, st.long-1)
 	}
+	before := st.suspensions
+	st.trial = false
 	switch o {
 	case Good:
 		st.failure *= 1 - failureWeight
-		st.inRow, st.suspensions, st.trial = 0, 0, false
+		st.inRow, st.suspensions = 0, 0
 	case Refused:
 		st.busyUntil = now + refusedPause
+	case Error:
+		st.failure += (1 - st.failure) * failureWeight
 	case Failed, Dead:
+		st.dead = o == Dead
 		st.failure += (1 - st.failure) * failureWeight
 		st.inRow++
 		if o == Dead || st.inRow >= suspendAfter {
 			st.suspend(now)
 		}
 	}
-	st.trial = false
+	switch {
+	case st.suspensions > before:
+		return Suspended
+	case st.suspensions < before:
+		return Restored
+	}
+	return Unchanged
 }
 
 func (st *endpointState) suspend(now time.Duration) {
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -122,14 +122,17 @@
 		src.first, src.second = homes(chain, v.ByService[r.Service])
 	}
 	for _, e := range v.ByService[r.Service] {
-		if e.State != fleet.Ready || contains(r.Exclude, e.ID) {
-			continue
-		}
 		st := s.endpoint(e.ID)
-		if st.swapping(now, e) || r.Long() && st.swapsSoon(now, e) || now < st.busyUntil || !st.admits(now, r.Repeatable) || st.full(e) {
+		if !s.usable(now, e, st, r) {
 			continue
 		}
 		c := s.cost(now, wall, v, r, chain, &src, e, st)
+		if !st.admits(now, r.Repeatable) {
+			if !st.lastResort() {
+				continue
+			}
+			c.Cost += lastResortCost
+		}
 		if !found || c.Cost < best.Cost {
 			best, found = c, true
 		}
@@ -142,6 +145,15 @@
 	return best, found
 }
 
+// lastResortCost puts suspended endpoints behind all others.
+const lastResortCost = time.Minute
+
+// usable reports whether an endpoint takes requests at all.
+func (s *Selector) usable(now time.Duration, e *fleet.Endpoint, st *endpointState, r *Request) bool {
+	return e.State == fleet.Ready && !contains(r.Exclude, e.ID) && !st.swapping(now, e) && !st.full(e) &&
+		now >= st.busyUntil && (!r.Long() || !st.swapsSoon(now, e))
+}
+
 func (s *Selector) cost(now time.Duration, wall time.Time, v *fleet.View, r *Request, chain []uint64, src *source, e *fleet.Endpoint, st *endpointState) Choice {
 	c := Choice{Endpoint: e}
 	cost := time.Duration(st.failure * float64(s.cfg.FailureCost))
--- a/decision/selection/selection_test.go
+++ b/decision/selection/selection_test.go
@@ -169,6 +169,29 @@
 	choose(t, s, suspendFirst, v, r)
 }
 
+// Error answers alone must not take an endpoint away: all endpoints of a service
+// may answer some requests so. Where all are suspended, one that answers badly is
+// better than a refusal.
+func TestErrorsAndBrokenAnswersLeaveAnEndpoint(t *testing.T) {
+	v, s := view(2, 1), New(testConfig(), "a")
+	r := request(1, 2)
+	fail := func(o Outcome) {
+		for range 20 {
+			if c, ok := s.Select(0, wall, v, r); ok {
+				s.Started(0, r, c)
+				s.Ended(0, r, c, o)
+			}
+		}
+	}
+	fail(Error)
+	choose(t, s, 0, v, r)
+	fail(Failed)
+	choose(t, s, 0, v, r)
+	fail(Dead)
+	_, ok := s.Select(0, wall, v, r)
+	assert.Assert(t, !ok, "endpoints that do not answer get nothing")
+}
+
 // Requests must not start on weights that were superseded for too long while
 // another endpoint has the new ones, even if that one is busy.
 func TestExpiredWeightsAreAvoided(t *testing.T) {
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -40,9 +40,12 @@
 	forgetAfter = 2 * time.Minute
 	// seedsEvery is the number of rounds between two tries of the seeds.
 	seedsEvery = 20
-	// minConnect and maxBackoff bound the time between two connections.
-	minConnect = 500 * time.Millisecond
-	maxBackoff = time.Second
+	// minConnect bounds the opening of a connection; firstBackoff and maxBackoff
+	// bound the wait before the next try. After a loss of power all routers start
+	// at once and wait for each other.
+	minConnect   = 300 * time.Millisecond
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 600 * time.Millisecond
 	// changeLife is how long each message carries a change of weights: the calls
 	// that follow an announcement reach every router that answers.
 	changeLife = 2 * time.Second
@@ -292,7 +295,7 @@
 	}
 	conn, err := grpc.NewClient("passthrough:///"+p.address, grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithNoProxy(), grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: minConnect, Multiplier: 1.5, Jitter: 0.2, MaxDelay: maxBackoff},
+			Backoff:           backoff.Config{BaseDelay: firstBackoff, Multiplier: 1.5, Jitter: 0.2, MaxDelay: maxBackoff},
 			MinConnectTimeout: minConnect,
 		}))
 	if err != nil {
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/fleet"
@@ -243,18 +244,31 @@
 	switch res.kind {
 	case unsent, hung:
 		outcome = selection.Dead
-	case broken, failed:
+	case failed:
+		outcome = selection.Error
+	case broken:
 		outcome = selection.Failed
 	case refused:
 		outcome = selection.Refused
 	case callerLeft, moved:
 		outcome = selection.Neutral
 	}
+	switch t.settle(outcome, res.kind == done) {
+	case selection.Suspended:
+		t.log.WithFields(logrus.Fields{
+			"endpoint": t.choice.Endpoint.ID, "address": t.choice.Endpoint.Address, "result": resultNames[res.kind],
+		}).Warn("endpoint suspended")
+	case selection.Restored:
+		t.log.WithField("endpoint", t.choice.Endpoint.ID).Info("endpoint restored")
+	}
+}
+
+func (t *try) settle(o selection.Outcome, completed bool) selection.Change {
 	r := t.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.selector.Ended(r.now(), t.request(), t.choice, outcome)
-	if res.kind == done {
+	if completed {
 		r.strikes.Completed(t.fingerprint)
 	}
+	return r.selector.Ended(r.now(), t.request(), t.choice, o)
 }
