Move streams only where another endpoint takes them

A stream moves only if an endpoint takes it, a third of the engines neither changes nor prepares, and a job that has run waits a second for an endpoint. The stand-in echoes request ids in refusals, as the protocol says. Another failure, a port given out twice by the test itself, is mended.

--- a/cmd/arbutus-front/cluster_test.go
+++ b/cmd/arbutus-front/cluster_test.go
@@ -99,7 +99,7 @@
 	server := httptest.NewServer(f.gate)
 	c.t.Cleanup(server.Close)
 	address := strings.TrimPrefix(server.URL, "http://")
-	port := c.freePort(f.ip)
+	port := c.freePorts(f.ip)
 	f.url, f.ready = "http://"+f.ip+":"+port[0], "http://"+f.ip+":"+port[1]
 	text := fmt.Sprintf(`{
 		"log": {"level": "debug"},
@@ -129,14 +129,19 @@
 	assert.Check(t, f.kernel.Stop(ctx))
 }
 
-// freePort returns three ports that are free on the address.
-func (c *cluster) freePort(ip string) [3]string {
+// freePorts returns three ports that are free on the address. The listeners are
+// closed together, or the system could give out the same port twice.
+func (c *cluster) freePorts(ip string) [3]string {
 	var out [3]string
+	var listeners [3]net.Listener
 	for i := range out {
-		l, err := net.Listen("tcp", ip+":0")
+		var err error
+		listeners[i], err = net.Listen("tcp", ip+":0")
 		assert.NilError(c.t, err)
-		_, out[i], err = net.SplitHostPort(l.Addr().String())
+		_, out[i], err = net.SplitHostPort(listeners[i].Addr().String())
 		assert.NilError(c.t, err)
+	}
+	for _, l := range listeners {
 		assert.NilError(c.t, l.Close())
 	}
 	return out
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -24,8 +24,8 @@
 	// holdShare is the part of the latency objective for which a job waits for
 	// an endpoint before it is refused.
 	holdShare = 8
-	// startedHold is how long a stream that has begun waits for an endpoint;
-	// callers leave after a pause of two seconds.
+	// startedHold is how long a job that has run waits for another endpoint: it
+	// can no longer be refused. Callers leave streams after two seconds.
 	startedHold = time.Second
 	// holdStep is the time between two looks for an endpoint.
 	holdStep = 10 * time.Millisecond
@@ -79,6 +79,8 @@
 	header http.Header
 	body   []byte
 	err    error
+	// gone means that another endpoint has the address.
+	gone bool
 	// reserved means that the next try is paid for.
 	reserved bool
 }
@@ -228,7 +230,7 @@
 // none may take the job.
 func (x *execution) place(ctx context.Context) (selection.Choice, bool) {
 	limit := time.Now().Add(x.job.Route.LatencyObjective / holdShare)
-	if x.started {
+	if x.ran > 0 {
 		limit = time.Now().Add(startedHold)
 	}
 	for ctx.Err() == nil {
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -263,12 +264,21 @@
 	}
 }
 
-// moveStreams ends the tries of streams that can go on elsewhere. The retry is
-// paid for first: a stream that was cut off without one could not go on. The
+// moveStreams ends the tries of streams that another endpoint takes now. The retry
+// is paid for first: a stream that was cut off without one could not go on. The
 // caller holds mu.
 func (r *Relay) moveStreams(endpoint string, routers int) {
+	v := r.directory.View()
 	for t := range r.live[endpoint] {
-		if t.movable() && r.budget(t.job.Service, routers).AllowShare(r.now(), movesShare) {
+		if !t.movable() {
+			continue
+		}
+		request := t.request()
+		request.Exclude, request.Moved = append(slices.Clone(request.Exclude), endpoint), true
+		if _, elsewhere := r.selector.Select(r.now(), time.Now(), v, request); !elsewhere {
+			continue
+		}
+		if r.budget(t.job.Service, routers).AllowShare(r.now(), movesShare) {
 			t.cancel(errMoved)
 		}
 	}
@@ -338,7 +348,7 @@
 
 // movesShare is the part of the retry budget that moving streams may use; the rest
 // is for failures.
-const movesShare = 0.5
+const movesShare = 0.75
 
 // budgetUse leaves room for routers that do not know of each other yet.
 const budgetUse = 0.8
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -68,7 +68,7 @@
 	t.learn(answer)
 	if answer.Status == http.StatusMisdirectedRequest || answer.Header.Get(platform.HeaderNotRun) != "" {
 		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxAnswerBytes))
-		return result{kind: refused, status: answer.Status, header: answer.Header, err: err}
+		return result{kind: refused, status: answer.Status, header: answer.Header, err: err, gone: t.replaced(answer)}
 	}
 	if answer.Header.Get(platform.HeaderSignature) == "" || answer.Header.Get("Content-Encoding") != "" {
 		return result{kind: broken, status: answer.Status, err: errors.New("answer is not the endpoint's")}
@@ -123,11 +123,17 @@
 		t.relay.directory.LearnWeights(endpoint.ID, model, version)
 		return
 	}
-	if answer.Status == http.StatusMisdirectedRequest && answer.Header.Get(platform.HeaderEndpoint) == endpoint.ID {
+	if answer.Status == http.StatusMisdirectedRequest && !t.replaced(answer) {
 		t.relay.askWeights(endpoint, model)
 	}
 }
 
+// replaced reports whether another endpoint than the chosen one answered.
+func (t *try) replaced(answer *upstream.Answer) bool {
+	id := answer.Header.Get(platform.HeaderEndpoint)
+	return answer.Status == http.StatusMisdirectedRequest && id != "" && id != t.choice.Endpoint.ID
+}
+
 // whole passes on an answer that is read to its end first, so that a broken one
 // can be replaced.
 func (t *try) whole(ctx context.Context, answer *upstream.Answer) result {
@@ -249,6 +255,9 @@
 		outcome = selection.Failed
 	case refused:
 		outcome = selection.Refused
+		if res.gone {
+			outcome = selection.Dead
+		}
 	case callerLeft, moved:
 		outcome = selection.Neutral
 	}
--- a/modules/upgrade/upgrade.go
+++ b/modules/upgrade/upgrade.go
@@ -56,11 +56,14 @@
 	// as many engines wait for their running requests to end.
 	concurrentShare = 22
 	minConcurrent   = 2
+	// activeShare is the part of the engines, in percent, that may change or
+	// prepare for it; the others must be able to take long requests.
+	activeShare = 67
 )
 
 func init() {
 	arbutusline.Register(func() arbutusline.Module {
-		return &Upgrade{TurnPause: settings.Duration(3 * time.Second)}
+		return &Upgrade{TurnPause: settings.Duration(3 * time.Second), TimeLimit: settings.Duration(8 * time.Second)}
 	})
 }
 
@@ -70,6 +73,9 @@
 	Holder string `json:"holder"`
 	// TurnPause is the least time between orders of two holders. Default 3s.
 	TurnPause settings.Duration `json:"turn_pause"`
+	// TimeLimit is the time in which all engines should have new weights.
+	// Default 8s.
+	TimeLimit settings.Duration `json:"time_limit"`
 
 	log       *logrus.Entry
 	directory *directory.Directory
@@ -140,8 +146,8 @@
 	if u.Holder == "" {
 		return errors.New("holder is required")
 	}
-	if u.TurnPause <= 0 {
-		return errors.New("turn_pause must be positive")
+	if u.TurnPause <= 0 || u.TimeLimit <= 0 {
+		return errors.New("turn_pause and time_limit must be positive")
 	}
 	return nil
 }
@@ -267,7 +273,7 @@
 			continue
 		}
 		endpoints := v.ByService[name]
-		soon := 0
+		soon, active := 0, 0
 		var need []step
 		for _, e := range endpoints {
 			for model, version := range e.Weights {
@@ -276,6 +282,7 @@
 					continue
 				}
 				if now, ok := u.active[s.key()]; ok {
+					active++
 					if !now {
 						soon++
 					}
@@ -287,19 +294,31 @@
 			}
 		}
 		sortSteps(need, u.relay)
-		room := concurrent(len(endpoints)) - soon
+		room := min(u.concurrent(v, endpoints)-soon, max(1, len(endpoints)*activeShare/100)-active)
 		out = append(out, need[:min(len(need), max(0, room))]...)
 	}
 	return out
 }
 
 // concurrent returns how many of a service's engines change at once, and how many
-// prepare for it.
-func concurrent(engines int) int { return max(minConcurrent, engines*concurrentShare/100) }
+// prepare for it. Half as many more do when an engine has had old weights for more
+// than half of the time limit.
+func (u *Upgrade) concurrent(v *fleet.View, endpoints []*fleet.Endpoint) int {
+	n := max(minConcurrent, len(endpoints)*concurrentShare/100)
+	for _, e := range endpoints {
+		for model, version := range e.Weights {
+			if at, old := v.Superseded(model, version); old && time.Since(at) > u.TimeLimit.D()/2 {
+				return n + (n+1)/2
+			}
+		}
+	}
+	return n
+}
 
 // enter reports whether an engine that is prepared may change now, and counts it.
 func (u *Upgrade) enter(s step) bool {
-	engines := u.directory.View().ByService[s.endpoint.Service]
+	v := u.directory.View()
+	engines := v.ByService[s.endpoint.Service]
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	changing := 0
@@ -308,7 +327,7 @@
 			changing++
 		}
 	}
-	if changing >= concurrent(len(engines)) {
+	if changing >= u.concurrent(v, engines) {
 		return false
 	}
 	u.active[s.key()] = true
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -189,13 +189,14 @@
 		return
 	}
 	fault, refused := w.begin(r, string(body))
+	id := r.Header.Get("Request-Id")
 	if refused != 0 {
+		rw.Header().Set("Request-Id", id)
 		rw.Header().Set("Not-Executed", "1")
 		rw.WriteHeader(refused)
 		return
 	}
 	defer w.end()
-	id := r.Header.Get("Request-Id")
 	switch fault {
 	case FaultReset:
 		panic(http.ErrAbortHandler)
