--- a/cmd/arbutusctl/ctl_test.go
+++ b/cmd/arbutusctl/ctl_test.go
@@ -239,3 +239,25 @@
 	assert.Assert(t, strings.HasSuffix(b.ctl("explain 10-5 --router $gone"), "exit 4\n"))
 	assert.Assert(t, strings.HasSuffix(b.ctl("explain 10-5"), "exit 1\n"))
 }
+
+// Guards against an explanation that mixes requests, loses the order of lines from
+// several hosts, or fails on lines of other programs.
+func TestExplainReadsLogs(t *testing.T) {
+	dir := t.TempDir()
+	a, b := filepath.Join(dir, "a.log"), filepath.Join(dir, "b.log")
+	assert.NilError(t, os.WriteFile(a, []byte(`not a line of ours: request r-1
+  4.05 front-a {"time":"2026-01-26T04:26:42Z","module":"ingress","msg":"request ended","request":"r-1","outcome":"failed","reason":"broken","endpoint":"e1","took_ms":1501,"tries":1}
+{"time":"2026-01-26T04:26:42Z","module":"ingress","msg":"request ended","request":"r-12","outcome":"served"}
+{"half
+`), 0o600))
+	assert.NilError(t, os.WriteFile(b, []byte(`{"time":"2026-01-26T04:26:41Z","module":"relay","msg":"try failed","request":"r-1","result":"broken","endpoint":"e1","age_ms":1501,"error":"connection reset"}
+`), 0o600))
+	f := newFleet(t)
+	assert.Equal(t, f.ctl("explain r-1 --logs "+a+" --logs "+b),
+		`2026-01-26T04:26:41Z relay: try failed result=broken endpoint=e1 after=1.501s error=connection reset
+2026-01-26T04:26:42Z 4.05 front-a ingress: request ended outcome=failed reason=broken endpoint=e1 after=1.501s
+cause: the connection to the endpoint ended before its answer was complete; the request may have run
+exit 0
+`)
+	assert.Assert(t, strings.HasSuffix(f.ctl("explain r-2 --logs "+a), "exit 6\n"))
+}
--- a/cmd/arbutusctl/explain.go
+++ b/cmd/arbutusctl/explain.go
@@ -12,7 +12,8 @@
 )
 
 type explainCmd struct {
-	RequestID string `arg:"" name:"request-id" help:"Request id, from X-Request-Id."`
+	RequestID string   `arg:"" name:"request-id" help:"Request id, from X-Request-Id."`
+	Logs      []string `help:"Read these log files instead of asking routers; - is standard input." sep:"none"`
 }
 
 // explanation is the output of the command.
@@ -36,6 +37,9 @@
 // Run asks the given routers, then the router that the id names, until one
 // knows the request.
 func (c *explainCmd) Run(s *session) error {
+	if len(c.Logs) > 0 {
+		return c.explainLogs(s)
+	}
 	if len(s.Routers) == 0 {
 		return failf(errUsage, "no router to ask: give --router or a settings file")
 	}
--- a/internal/reference/operations_test.go
+++ b/internal/reference/operations_test.go
@@ -113,7 +113,7 @@
 // Guards against a refusal code, retry reason or failure without a runbook
 // entry.
 func TestEveryCodeHasARunbookEntry(t *testing.T) {
-	text, design := read(t, "operations.md"), read(t, "design.md")
+	text, design := read(t, "OPERATIONS.md"), read(t, "design.md")
 	var codes []string
 	listed := section(t, design, "### 6.1 Caller to router (HTTP)")
 	_, listed, _ = strings.Cut(listed, "Refusal codes:")
@@ -133,13 +133,13 @@
 	codes = append(codes, reasons...)
 	for _, code := range codes {
 		if !strings.Contains(text, "\n### `"+code+"`\n") {
-			t.Errorf("docs/operations.md has no entry for %q", code)
+			t.Errorf("docs/OPERATIONS.md has no entry for %q", code)
 		}
 	}
 	for _, row := range strings.Split(section(t, design, "## 8. Failure handling"), "\n")[3:] {
 		cells := strings.Split(row, "|")
 		if len(cells) > 2 && !strings.Contains(text, "\n### "+strings.TrimSpace(cells[1])+"\n") {
-			t.Errorf("docs/operations.md has no entry for the failure %q", strings.TrimSpace(cells[1]))
+			t.Errorf("docs/OPERATIONS.md has no entry for the failure %q", strings.TrimSpace(cells[1]))
 		}
 	}
 }
@@ -147,11 +147,11 @@
 // Guards against an alert or runbook entry on a metric that no process has.
 func TestRunbookNamesExistingMetrics(t *testing.T) {
 	page := read(t, "reference.md")
-	names := regexp.MustCompile(`arbutus_[a-z_]+`).FindAllString(read(t, "operations.md"), -1)
+	names := regexp.MustCompile(`arbutus_[a-z_]+`).FindAllString(read(t, "OPERATIONS.md"), -1)
 	assert.Assert(t, len(names) > 10)
 	for _, name := range names {
 		if !strings.Contains(page, "`"+name+"`") {
-			t.Errorf("docs/operations.md names the metric %q, which docs/reference.md lacks", name)
+			t.Errorf("docs/OPERATIONS.md names the metric %q, which docs/reference.md lacks", name)
 		}
 	}
 }
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -51,7 +51,7 @@
 
 func init() {
 	arbutusline.Register(func() arbutusline.Module {
-		return &Directory{WatchWait: settings.Duration(10 * time.Second)}
+		return &Directory{WatchWait: settings.Duration(10 * time.Second), Watchers: 6}
 	})
 }
 
@@ -65,6 +65,9 @@
 	// WatchWait is how long one watch waits. Default 10s: a connection that
 	// went silent is found by then, and other routers have the news before.
 	WatchWait settings.Duration `json:"watch_wait"`
+	// Watchers is the number of routers that watch the store; the others learn
+	// from them. A router that reaches no other one always watches. Default 6.
+	Watchers int `json:"watchers"`
 
 	log    *logrus.Entry
 	node   *node.Node
@@ -150,8 +153,8 @@
 	if d.Store == "" || d.Advertise == "" {
 		return errors.New("store and advertise are required")
 	}
-	if d.WatchWait <= 0 {
-		return errors.New("watch_wait must be positive")
+	if d.WatchWait <= 0 || d.Watchers < 1 {
+		return errors.New("watch_wait and watchers must be positive")
 	}
 	return nil
 }
@@ -223,6 +226,7 @@
 		first := true
 		for err == nil && ctx.Err() == nil {
 			wait = retryFirst
+			revision = d.awaitTurn(ctx, kind, revision)
 			since := revision
 			revision, err = d.watch(ctx, kind, revision, d.watchWait(kind, first))
 			first = revision != since
@@ -258,6 +262,24 @@
 	return revision, nil
 }
 
+// awaitTurn waits while enough other routers watch the store and returns the
+// revision up to which this router's copy is complete then.
+func (d *Directory) awaitTurn(ctx context.Context, kind string, revision uint64) uint64 {
+	for ctx.Err() == nil {
+		d.mu.Lock()
+		watches := d.rank < d.Watchers
+		if reached := d.copies[kind].Revision(); reached > revision {
+			revision = reached
+		}
+		d.mu.Unlock()
+		if watches {
+			break
+		}
+		pause(ctx, turn)
+	}
+	return revision
+}
+
 // watchWait returns how long a watch waits. A watch may hear nothing of a change
 // when the store drops its history, so the routers let theirs end by turns, one
 // a second: one of them asks again and tells the others. First is true after a
@@ -267,7 +289,7 @@
 		return d.WatchWait.D()
 	}
 	d.mu.Lock()
-	rank, routers := d.rank, max(1, d.routers)
+	rank, routers := d.rank, min(d.Watchers, max(1, d.routers))
 	d.mu.Unlock()
 	if first {
 		return min(d.WatchWait.D(), turn*time.Duration(rank+1))
@@ -315,6 +337,13 @@
 	d.outage = true
 }
 
+// StoreLost reports whether the last call to the store failed.
+func (d *Directory) StoreLost() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.outage
+}
+
 func (d *Directory) regained(kind string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -99,6 +99,8 @@
 	heard   time.Time
 	busy    bool
 	lost    bool
+	// storeLost means that the router does not reach the store.
+	storeLost bool
 }
 
 type change struct {
@@ -249,12 +251,12 @@
 	return ready
 }
 
-// rank returns the position of this router among those that answer, by address.
-// The caller holds mu.
+// rank returns the position of this router, by address, among those that answer
+// and reach the store. The caller holds mu.
 func (x *Exchange) rank() (rank, routers int) {
 	routers = 1
 	for address, p := range x.peers {
-		if p.lost || p.misses > 0 {
+		if p.lost || p.misses > 0 || p.storeLost {
 			continue
 		}
 		routers++
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -23,7 +23,7 @@
 // state returns what this router tells another one. In is the other's state in
 // an answer and nil in a call.
 func (x *Exchange) state(in *arbutuspb.RouterState) *arbutuspb.RouterState {
-	out := &arbutuspb.RouterState{Name: x.node.ID, Address: x.self}
+	out := &arbutuspb.RouterState{Name: x.node.ID, Address: x.self, StoreLost: x.directory.StoreLost()}
 	for _, p := range x.directory.Positions() {
 		out.Positions = append(out.Positions, &arbutuspb.CopyPosition{Kind: p.Kind, Revision: p.Revision})
 	}
@@ -88,6 +88,11 @@
 }
 
 func (x *Exchange) merge(in *arbutuspb.RouterState) {
+	x.mu.Lock()
+	if p := x.peers[in.GetAddress()]; p != nil {
+		p.storeLost = in.GetStoreLost()
+	}
+	x.mu.Unlock()
 	loads := make([]selection.Load, 0, len(in.GetLoads()))
 	for _, l := range in.GetLoads() {
 		loads = append(loads, selection.Load{Endpoint: l.GetEndpoint(), Running: int(l.GetRunning()), Unread: int(l.GetUnread()), Long: int(l.GetLong())})
