--- a/internal/reference/reference.go
+++ b/internal/reference/reference.go
@@ -59,6 +59,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	k := arbutusline.New(settings.File{}, logrus.NewEntry(log))
+	k.DroppedLogLines = func() uint64 { return 0 }
 	if err := provisionAll(k); err != nil {
 		return Report{}, err
 	}
