--- a/modules/cacheevents/cacheevents.go
+++ b/modules/cacheevents/cacheevents.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -19,6 +18,7 @@
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/modules/admin"
 	"github.com/arbutusline/arbutusline/modules/directory"
 	"github.com/arbutusline/arbutusline/modules/node"
@@ -32,8 +32,8 @@
 const Name = "cache_events"
 
 const (
-	// wait is how long an engine holds a call until there are events.
-	wait = 800 * time.Millisecond
+	// hold is how long an engine holds a call until there are events.
+	hold = 800 * time.Millisecond
 	// callTimeout bounds a call that waits.
 	callTimeout = 2 * time.Second
 	// retryAfter is the pause after a failed call.
@@ -187,7 +187,7 @@
 		got, err := c.call(ctx, s, next)
 		if err != nil {
 			c.events.WithLabelValues("failed").Inc()
-			pause(ctx, retryAfter)
+			wait.About(ctx, retryAfter)
 			continue
 		}
 		restarted := epoch != 0 && got.Epoch != epoch
@@ -202,7 +202,7 @@
 			c.relay.CacheEvents(s.id, got.Events, restarted)
 		}
 		epoch, next = got.Epoch, got.Next
-		pause(ctx, c.Pace.D())
+		wait.About(ctx, c.Pace.D())
 	}
 }
 
@@ -211,7 +211,7 @@
 	defer cancel()
 	answer, err := c.upstream.Do(ctx, s.address, &upstream.Request{
 		Method: http.MethodGet, URI: platform.CacheEventsPath(since), Host: s.address,
-		Header: platform.CacheEventsHeader(s.endpoint, wait),
+		Header: platform.CacheEventsHeader(s.endpoint, hold),
 	})
 	if err != nil {
 		return platform.CacheEvents{}, err
@@ -230,12 +230,3 @@
 	}
 	return got, err
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d*3/4 + rand.N(d/2+1))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/decision/replica"
 	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/modules/admin"
 	"github.com/arbutusline/arbutusline/modules/node"
 	"github.com/arbutusline/arbutusline/platform"
@@ -129,6 +129,7 @@
 	d.view.Store(&fleet.View{})
 	d.store = platform.NewStore(d.Store)
 	d.store.Observe = d.observe
+	d.store.Unreadable = func(kind string) { d.log.WithField("kind", kind).Warn("entry ignored: it is no object") }
 	d.metrics(a)
 	a.AddReadiness(Name, d.ready)
 	return nil
@@ -204,7 +205,7 @@
 // has no condition: only this router writes its object.
 func (d *Directory) register(ctx context.Context) {
 	spec := Router{Address: d.Advertise, Zone: d.node.Zone, Incarnation: d.node.Incarnation()}
-	for wait := retryFirst; ctx.Err() == nil; wait = min(2*wait, retryMost) {
+	for delay := retryFirst; ctx.Err() == nil; delay = min(2*delay, retryMost) {
 		_, err := d.store.Create(ctx, KindRouters, d.node.ID, spec)
 		if errors.Is(err, platform.ErrConflict) {
 			_, err = d.store.Replace(ctx, KindRouters, d.node.ID, 0, spec)
@@ -214,18 +215,18 @@
 			return
 		}
 		d.log.WithError(err).Warn("router not registered")
-		pause(ctx, wait)
+		wait.About(ctx, delay)
 	}
 }
 
 // follow keeps one kind up to date until ctx ends.
 func (d *Directory) follow(ctx context.Context, kind string) {
-	wait := retryFirst
+	delay := retryFirst
 	for ctx.Err() == nil {
 		revision, err := d.list(ctx, kind)
 		first := true
 		for err == nil && ctx.Err() == nil {
-			wait = retryFirst
+			delay = retryFirst
 			revision = d.awaitTurn(ctx, kind, revision)
 			since := revision
 			revision, err = d.watch(ctx, kind, revision, d.watchWait(kind, first))
@@ -239,8 +240,8 @@
 			continue
 		}
 		d.lost(kind, err)
-		pause(ctx, wait)
-		wait = min(2*wait, retryMost)
+		wait.About(ctx, delay)
+		delay = min(2*delay, retryMost)
 	}
 }
 
@@ -275,7 +276,7 @@
 		if watches {
 			break
 		}
-		pause(ctx, turn)
+		wait.About(ctx, turn)
 	}
 	return revision
 }
@@ -305,11 +306,11 @@
 	d.rank, d.routers = rank, routers
 }
 
-func (d *Directory) watch(ctx context.Context, kind string, since uint64, wait time.Duration) (uint64, error) {
+func (d *Directory) watch(ctx context.Context, kind string, since uint64, limit time.Duration) (uint64, error) {
 	if kind == platform.KindEndpoints {
-		pause(ctx, batchEndpoints)
+		wait.About(ctx, batchEndpoints)
 	}
-	changes, revision, err := d.store.Watch(ctx, kind, since, wait)
+	changes, revision, err := d.store.Watch(ctx, kind, since, limit)
 	if err != nil {
 		return since, err
 	}
@@ -379,13 +380,3 @@
 	}
 	return "error"
 }
-
-// pause waits for about d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d*3/4 + rand.N(d/2))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -10,6 +10,7 @@
 
 	"github.com/arbutusline/arbutusline/decision/replica"
 	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/platform"
 )
 
@@ -175,7 +176,7 @@
 
 func (d *Directory) expire(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, expireEvery)
+		wait.About(ctx, expireEvery)
 		d.mu.Lock()
 		if len(d.leaving) > 0 {
 			d.publish()
--- a/modules/relay/cachestore.go
+++ b/modules/relay/cachestore.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/wait"
 )
 
 // cacheStoreCheck is the period at which the KV store is tried. A request that
@@ -34,7 +35,7 @@
 				r.noteCacheStore(s.CacheStore, err)
 			}
 		}
-		sleep(ctx, cacheStoreCheck)
+		wait.For(ctx, cacheStoreCheck)
 	}
 }
 
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -12,6 +12,7 @@
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/decision/strikes"
 	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/modules/upstream"
 	"github.com/arbutusline/arbutusline/platform"
 )
@@ -240,7 +241,7 @@
 		if time.Now().After(limit) {
 			return selection.Choice{}, false
 		}
-		sleep(ctx, holdStep)
+		wait.For(ctx, holdStep)
 	}
 	return selection.Choice{}, false
 }
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -380,13 +380,3 @@
 	})
 	r.MustRegister(m.requests, m.retries, m.latency, m.cached, m.read)
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/modules/upgrade/change.go
+++ b/modules/upgrade/change.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/arbutusline/arbutusline/api/arbutuspb"
+	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/platform"
 )
 
@@ -87,7 +88,7 @@
 		if u.directory.View().ByID[s.endpoint.ID] == nil {
 			return
 		}
-		sleep(ctx, pollEvery)
+		wait.For(ctx, pollEvery)
 	}
 }
 
@@ -97,14 +98,14 @@
 	u.exchange.Announce(s.endpoint.ID, s.model, s.version, arbutuspb.ChangeStage_CHANGE_STAGE_SOON)
 	begun := time.Now()
 	for ctx.Err() == nil {
-		sleep(ctx, prepareStep)
+		wait.For(ctx, prepareStep)
 		_, long := u.relay.Running(s.endpoint.ID)
 		if (long == 0 || time.Since(begun) > prepareLimit) && u.enter(s) {
 			break
 		}
 	}
 	u.exchange.Announce(s.endpoint.ID, s.model, s.version, arbutuspb.ChangeStage_CHANGE_STAGE_NOW)
-	sleep(ctx, announceLead)
+	wait.For(ctx, announceLead)
 	return ctx.Err() == nil
 }
 
@@ -169,12 +170,3 @@
 	}
 	return rejected
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
