Refuse requests that would start on expired weights

Past 6.5 s it is refused, or waits, while an endpoint of the service has newer weights; not while the store is away.

--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -55,6 +55,10 @@
 	// Moved requests left another endpoint for its change of weights. Where they
 	// go now they stay.
 	Moved bool
+	// AllowExpired lets a request start on weights past their limit although
+	// other endpoints have newer ones, because the store is away and the change
+	// may take long.
+	AllowExpired bool
 	// Repeatable requests may test an endpoint that failed before.
 	Repeatable bool
 }
@@ -115,15 +119,21 @@
 	found := false
 	var chain []uint64
 	var src source
+	var newest uint64
+	var model string
 	if r.Prompt != nil {
+		model = r.Prompt.Model
 		chain = partKeys(r.Namespace, r.Prompt)
 		s.cover(now, chain, r.Prompt)
 		src = s.source(now, v, r)
 		src.first, src.second = homes(chain, v.ByService[r.Service])
+		if !r.AllowExpired {
+			newest = newestWeights(v, r)
+		}
 	}
 	for _, e := range v.ByService[r.Service] {
 		st := s.endpoint(e.ID)
-		if !s.usable(now, e, st, r) {
+		if !s.usable(now, e, st, r) || e.Weights[model] < newest && s.expired(wall, v, r, e, st) {
 			continue
 		}
 		c := s.cost(now, wall, v, r, chain, &src, e, st)
@@ -148,6 +158,28 @@
 // lastResortCost puts suspended endpoints behind all others.
 const lastResortCost = time.Minute
 
+// newestWeights returns the newest version that an endpoint of the service has.
+func newestWeights(v *fleet.View, r *Request) uint64 {
+	var newest uint64
+	for _, e := range v.ByService[r.Service] {
+		if e.State == fleet.Ready {
+			newest = max(newest, e.Weights[r.Prompt.Model])
+		}
+	}
+	return newest
+}
+
+// expired reports whether a request would start on weights that were superseded
+// too long ago.
+func (s *Selector) expired(wall time.Time, v *fleet.View, r *Request, e *fleet.Endpoint, st *endpointState) bool {
+	at, old := v.Superseded(r.Prompt.Model, e.Weights[r.Prompt.Model])
+	return old && wall.Sub(at)+s.reading(float64(st.unread+st.remoteUnread)) > s.cfg.OldWeightsLimit+expiredSlack
+}
+
+// expiredSlack is how long after their limit weights may still be used where all
+// other endpoints are busy.
+const expiredSlack = 1500 * time.Millisecond
+
 // usable reports whether an endpoint takes requests at all.
 func (s *Selector) usable(now time.Duration, e *fleet.Endpoint, st *endpointState, r *Request) bool {
 	return e.State == fleet.Ready && !contains(r.Exclude, e.ID) && !st.swapping(now, e) && !st.full(e) &&
--- a/decision/selection/selection_test.go
+++ b/decision/selection/selection_test.go
@@ -204,6 +204,22 @@
 	}
 }
 
+// Past the limit a request is refused rather than started on old weights while
+// another endpoint has new ones; but not while the store is away, and not when no
+// endpoint has them yet.
+func TestExpiredWeightsAreRefused(t *testing.T) {
+	v, s := view(2, 1), New(testConfig(), "a")
+	v.Named[model] = []fleet.NamedWeights{{Version: 2, At: wall.Add(-7 * time.Second)}}
+	r := request(1, 2)
+	choose(t, s, 0, v, r)
+	v.ByID["e1"].Weights = map[string]uint64{model: 2}
+	s.Swapping(0, "e1", model, 3)
+	_, ok := s.Select(0, wall, v, r)
+	assert.Assert(t, !ok)
+	r.AllowExpired = true
+	assert.Equal(t, choose(t, s, 0, v, r).Endpoint.ID, "e0")
+}
+
 // The choice runs for each request; it must not depend on the size of the fleet
 // for more than some microseconds.
 func BenchmarkSelect(b *testing.B) {
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -250,6 +250,7 @@
 	return &selection.Request{
 		Service: x.job.Service, Prompt: x.job.Prompt, Namespace: x.job.namespace(), Exclude: x.exclude,
 		Repeatable: x.job.Route.Repeatable(), Moved: x.last.kind == moved,
+		AllowExpired: x.relay.directory.StoreLost(),
 	}
 }
 
