--- a/kernel.go
+++ b/kernel.go
@@ -106,17 +106,6 @@
 	return first
 }
 
-// Reload tells the modules that the settings file may have changed. Modules
-// whose settings can change while they run implement Reloader.
-func (k *Kernel) Reload() {
-	k.Log.Info("reload requested")
-	for _, m := range k.modules[:k.started] {
-		if r, ok := m.(Reloader); ok {
-			r.Reload()
-		}
-	}
-}
-
 // Effective returns the settings of all loaded modules with their defaults.
 func (k *Kernel) Effective() ([]byte, error) {
 	out := map[string]Module{}
--- a/module.go
+++ b/module.go
@@ -16,7 +16,7 @@
 )
 
 // Module is a unit of function of a process. A module may also implement
-// Provisioner, Validator, Starter, Reloader and Stopper.
+// Provisioner, Validator, Starter and Stopper.
 type Module interface {
 	// ModuleName returns the name that the module is registered under.
 	ModuleName() string
@@ -46,12 +46,6 @@
 	Stop(ctx context.Context) error
 }
 
-// Reloader is implemented by modules that can take up changed settings while
-// they run.
-type Reloader interface {
-	Reload()
-}
-
 // Errors of the kernel.
 var (
 	// ErrUnknownModule means that no module is registered under the name.
--- a/process/process.go
+++ b/process/process.go
@@ -93,7 +93,7 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
 		for range hangups {
-			kernel.Reload()
+			kernel.Log.Info("reload requested; settings are read at the start only")
 		}
 	}()
 	if err := kernel.Start(context.Background()); err != nil {
