Tell later routers how old weights are

Routers now tell each other the ages. Ruled out: the refusal of expired weights itself, whose age was wrong. Test: TestLaterRouterKnowsTheAgeOfWeights.

--- a/cmd/arbutus-front/front_test.go
+++ b/cmd/arbutus-front/front_test.go
@@ -193,6 +193,25 @@
 	})
 }
 
+// A router that starts later must know for how long weights have been old, or it
+// would use them past their time. The store holds the newest version only.
+func TestLaterRouterKnowsTheAgeOfWeights(t *testing.T) {
+	c := newCluster(t)
+	c.worker(app("a1"))
+	first := c.front()
+	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+	c.eventually("the version is known", func() bool { return first.view().Weights["m"] == 2 })
+	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 3})
+	c.eventually("the next version is known", func() bool { return first.view().Weights["m"] == 3 })
+	time.Sleep(500 * time.Millisecond)
+	later := c.front()
+	want, _ := first.view().Superseded("m", 1)
+	c.eventually("the later router knows the age", func() bool {
+		got, old := later.view().Superseded("m", 1)
+		return old && got.Sub(want).Abs() < 300*time.Millisecond
+	})
+}
+
 // A router that the store turns away must learn of a configuration and of a
 // leaving endpoint from the other routers.
 func TestRouterCutOffFromTheStoreLearnsFromOthers(t *testing.T) {
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -14,6 +15,10 @@
 	"github.com/arbutusline/arbutusline/platform"
 )
 
+// namedTolerance is the difference in the age of a version below which routers
+// agree: the time of an exchange.
+const namedTolerance = 200 * time.Millisecond
+
 // expireEvery is the period at which endpoints past their grace are dropped.
 const expireEvery = 200 * time.Millisecond
 
@@ -100,14 +105,46 @@
 		}
 		if version > out[model] {
 			out[model] = version
-			named := append(d.named[model], fleet.NamedWeights{Version: version, At: time.Now()})
-			d.named[model] = named[max(0, len(named)-namedHistory):]
+			d.noteNamed(model, version, time.Now())
 			d.log.WithFields(logrus.Fields{"model": model, "weights": version}).Info("weights named")
 		}
 	}
 	return out
 }
 
+// noteNamed records when a version was named, the earliest time that is known. It
+// reports whether that is news. The versions stay in order. The caller holds mu.
+func (d *Directory) noteNamed(model string, version uint64, at time.Time) bool {
+	named := d.named[model]
+	i, found := slices.BinarySearchFunc(named, version, func(n fleet.NamedWeights, v uint64) int {
+		return cmp.Compare(n.Version, v)
+	})
+	if found {
+		if at.After(named[i].At.Add(-namedTolerance)) {
+			return false
+		}
+		named[i].At = at
+		return true
+	}
+	named = slices.Insert(named, i, fleet.NamedWeights{Version: version, At: at})
+	d.named[model] = named[max(0, len(named)-namedHistory):]
+	return true
+}
+
+// Named returns when this router believes the weights versions of each model to
+// have been named.
+func (d *Directory) Named() map[string][]fleet.NamedWeights { return d.View().Named }
+
+// MergeNamed takes another router's knowledge of when a version was named: a
+// router that started later would count its age from its own start.
+func (d *Directory) MergeNamed(model string, version uint64, age time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.noteNamed(model, version, time.Now().Add(-age)) {
+		d.publish()
+	}
+}
+
 // decodeEndpoint returns nil for entries that name no endpoint to use.
 func (d *Directory) decodeEndpoint(e replica.Entry) *fleet.Endpoint {
 	known := d.decoded[e.Name]
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -49,6 +49,9 @@
 	// changeLife is how long each message carries a change of weights: the calls
 	// that follow an announcement reach every router that answers.
 	changeLife = 2 * time.Second
+	// namedLife is how long the age of a weights version is told; engines have it
+	// long before.
+	namedLife = time.Minute
 	// partLife is how long each message carries a part: some rounds.
 	partLife = 500 * time.Millisecond
 	// maxStrikes bounds the strikes in one message.
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -38,6 +38,7 @@
 		})
 	}
 	out.Changes, out.Parts = x.outgoing()
+	out.Named = x.named()
 	if in != nil {
 		out.Copies = x.copies(in.GetPositions())
 	}
@@ -68,6 +69,19 @@
 	return changes, parts
 }
 
+// named returns the ages of the weights versions named lately.
+func (x *Exchange) named() []*arbutuspb.NamedWeights {
+	var out []*arbutuspb.NamedWeights
+	for model, versions := range x.directory.Named() {
+		for _, n := range versions {
+			if age := time.Since(n.At); age < namedLife {
+				out = append(out, &arbutuspb.NamedWeights{Model: model, Version: n.Version, AgeMs: uint32(age.Milliseconds())})
+			}
+		}
+	}
+	return out
+}
+
 // copies returns the objects that a router with these positions lacks.
 func (x *Exchange) copies(positions []*arbutuspb.CopyPosition) []*arbutuspb.CopyDelta {
 	var out []*arbutuspb.CopyDelta
@@ -108,6 +122,9 @@
 		held = append(held, selection.Held{Endpoint: h.GetEndpoint(), Weights: h.GetWeights(), Keys: h.GetKeys(), Read: h.GetRead()})
 	}
 	x.relay.RemoteParts(held)
+	for _, n := range in.GetNamed() {
+		x.directory.MergeNamed(n.GetModel(), n.GetVersion(), time.Duration(n.GetAgeMs())*time.Millisecond)
+	}
 	for _, c := range in.GetChanges() {
 		x.take(c)
 	}
