Mend a deadlock between relay and directory

Cause, from the goroutine dump of a check run that hung for 9 minutes in TestWeightsChangeUnderLoad: the relay asked StoreLost under its own lock, which waits for the directory's lock, while the directory published a view under that lock and waited for the relay's. StoreLost takes no lock now.

--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -84,7 +84,7 @@
 	leaving  map[string]leaving
 	decoded  map[string]decoded
 	badSeen  map[string]uint64
-	outage   bool
+	outage   atomic.Bool
 	returned time.Time
 	watchers []func(*fleet.View)
 	rank     int
@@ -332,24 +332,22 @@
 func (d *Directory) lost(kind string, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.outage {
+	if !d.outage.Load() {
 		d.log.WithError(err).WithField("kind", kind).Warn("store lost")
 	}
-	d.outage = true
+	d.outage.Store(true)
 }
 
 // StoreLost reports whether the last call to the store failed.
-func (d *Directory) StoreLost() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.outage
-}
+// It takes no lock: callers may hold locks that the functions given to Watch take.
+func (d *Directory) StoreLost() bool { return d.outage.Load() }
 
 func (d *Directory) regained(kind string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.outage {
-		d.outage, d.returned = false, time.Now()
+	if d.outage.Load() {
+		d.outage.Store(false)
+		d.returned = time.Now()
 		d.log.WithField("kind", kind).Info("store regained")
 	}
 }
