--- a/cmd/arbutus-front/cluster_test.go
+++ b/cmd/arbutus-front/cluster_test.go
@@ -28,6 +28,7 @@
 	store   *platform.Store
 	workers map[string]*httptest.Server
 	fronts  []*front
+	lines   *lineCheck
 }
 
 type front struct {
@@ -40,7 +41,7 @@
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, store: &platform.Store{}, workers: map[string]*httptest.Server{}}
+	c := &cluster{t: t, store: &platform.Store{}, workers: map[string]*httptest.Server{}, lines: &lineCheck{t: t, seen: map[string]bool{}}}
 	c.configure(1, nil)
 	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 1})
 	return c
@@ -116,12 +117,13 @@
 	assert.NilError(c.t, err)
 	log := logrus.New()
 	log.SetOutput(testWriter{c.t})
+	log.AddHook(c.lines)
 	f.kernel = arbutusline.New(file, log.WithField("front", n))
 	assert.NilError(c.t, f.kernel.Load(modules...))
 	assert.NilError(c.t, f.kernel.Start(context.Background()))
 	c.t.Cleanup(func() { f.stop(c.t) })
 	c.fronts = append(c.fronts, f)
-	c.eventually("front is ready", func() bool { return status(f.ready+"/readyz") == http.StatusOK })
+	c.eventually("front is ready", func() bool { return statusOf(f.ready+"/readyz") == http.StatusOK })
 	return f
 }
 
@@ -169,7 +171,7 @@
 	c.t.Fatalf("never: %s", what)
 }
 
-func status(url string) int {
+func statusOf(url string) int {
 	r, err := http.Get(url)
 	if err != nil {
 		return 0
--- a/cmd/arbutus-front/front_test.go
+++ b/cmd/arbutus-front/front_test.go
@@ -265,7 +265,7 @@
 	c.eventually("the stream runs", func() bool { return len(slow.Runs()) == 1 })
 	f.stop(t)
 	wantEvents(t, <-got)
-	assert.Equal(t, status(f.ready+"/readyz"), 0)
+	assert.Equal(t, statusOf(f.ready+"/readyz"), 0)
 }
 
 // A request that breaks the connections of three endpoints must not reach a fourth
--- /dev/null
+++ b/cmd/arbutus-front/lines_test.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutusline/arbutusline/standin/platform"
+)
+
+// lineFields are the fields that a line must have beside time, level and module: the
+// inputs of the decision with their age or version, and its outcome. Explanations of
+// failures rely on them.
+var lineFields = map[string][]string{
+	// Requests.
+	"request refused": {"request", "host", "path", "status", "reason", "configuration"},
+	"request ended":   {"request", "route", "team", "outcome", "tries", "endpoint", "configuration", "first_ms", "took_ms"},
+	"try failed": {
+		"request", "route", "service", "endpoint", "address", "try", "result", "status", "weights", "cost_ms", "age_ms",
+		"left_ms", "last_event", "configuration", "error",
+	},
+	"caller did not take the answer": {"request", "error"},
+	"caller did not take the events": {"request", "error"},
+
+	// Endpoints.
+	"endpoint known":                           {"endpoint", "service", "address", "draining"},
+	"endpoint gone":                            {"endpoint", "service", "address"},
+	"endpoint suspended":                       {"request", "endpoint", "address", "result", "failure_share", "suspensions", "for_ms"},
+	"endpoint restored":                        {"request", "endpoint", "address", "failure_share"},
+	"weights of endpoint learned":              {"endpoint", "model", "weights"},
+	"engine does not report":                   {"endpoint", "error"},
+	"engine does not report its weights":       {"endpoint", "error"},
+	"engine started again, its cache is empty": {"endpoint", "epoch"},
+	"KV store changed":                         {"address", "down"},
+
+	// Budgets and requests that crash endpoints.
+	"retry budget used up":                              {"service", "first", "retries", "slack"},
+	"retry budget has room":                             {"service", "first", "retries", "slack"},
+	"request refused from now on: it crashes endpoints": {"fingerprint", "endpoint", "age_ms", "source"},
+
+	// Changes of weights.
+	"weights named":               {"model", "weights"},
+	"order lease changed":         {"fence", "held"},
+	"order lease seen":            {"holder", "fence", "revision"},
+	"order lease not written":     {"fence", "error"},
+	"order sent":                  {"endpoint", "model", "weights", "fence", "orders", "status", "result"},
+	"order not encoded":           {"error"},
+	"change of weights begins":    {"endpoint", "model", "weights", "from"},
+	"change of weights postponed": {"endpoint", "model", "weights", "misses", "for_ms"},
+	"weights changed":             {"endpoint", "model", "weights"},
+
+	// Dependencies.
+	"store lost":                     {"kind", "error"},
+	"store regained":                 {"kind"},
+	"router known":                   {"address"},
+	"router lost":                    {"address", "error"},
+	"router regained":                {"address"},
+	"router registered":              {},
+	"router not registered":          {"error"},
+	"history is gone, listing again": {"kind"},
+	"configuration in force":         {"version", "source", "revision"},
+	"configuration not usable":       {"source", "revision", "error"},
+	"entry ignored":                  {"revision", "error"},
+	"entry ignored: it is no object": {"kind"},
+
+	// Life of the process.
+	"serving callers":            {"address"},
+	"server for callers ended":   {"error"},
+	"serving metrics and health": {"address"},
+	"admin server ended":         {"error"},
+	"serving gRPC":               {"address"},
+	"gRPC server ended":          {"error"},
+}
+
+// lineCheck fails a test when a line lacks a field of the table.
+type lineCheck struct {
+	t    *testing.T
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+// Levels returns all levels.
+func (c *lineCheck) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire checks one line.
+func (c *lineCheck) Fire(e *logrus.Entry) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen[e.Message] = true
+	want, listed := lineFields[e.Message]
+	if !listed {
+		c.t.Errorf("line %q is not in the table", e.Message)
+	}
+	for _, field := range append([]string{"module"}, want...) {
+		if _, ok := e.Data[field]; !ok {
+			c.t.Errorf("line %q has no field %q: %v", e.Message, field, e.Data)
+		}
+	}
+	return nil
+}
+
+// saw reports whether a line was logged.
+func (c *lineCheck) saw(message string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.seen[message]
+}
+
+// A line that is added without its required fields, or one of the table that no code
+// writes any more, must be noticed.
+func TestTableOfLinesIsComplete(t *testing.T) {
+	written := map[string]bool{}
+	for _, name := range modules {
+		dir := map[string]string{"log": "logging", "cache_events": "cacheevents", "grpc": "grpcserver"}[name]
+		if dir == "" {
+			dir = name
+		}
+		files, err := filepath.Glob(filepath.Join("../../modules", dir, "*.go"))
+		assert.NilError(t, err)
+		assert.Assert(t, len(files) > 0, "module %s has no files", name)
+		for _, file := range files {
+			if !strings.HasSuffix(file, "_test.go") {
+				for _, m := range messages(t, file) {
+					written[m] = true
+				}
+			}
+		}
+	}
+	for m := range written {
+		_, listed := lineFields[m]
+		assert.Check(t, listed, "line %q is not in the table", m)
+	}
+	for m := range lineFields {
+		assert.Check(t, written[m], "no code writes the line %q", m)
+	}
+}
+
+// messages returns the constant messages that a file logs.
+func messages(t *testing.T, file string) []string {
+	text, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	parsed, err := parser.ParseFile(token.NewFileSet(), file, text, 0)
+	assert.NilError(t, err)
+	var out []string
+	ast.Inspect(parsed, func(n ast.Node) bool {
+		call, ok := n.(*ast.CallExpr)
+		if !ok || len(call.Args) != 1 {
+			return true
+		}
+		method, ok := call.Fun.(*ast.SelectorExpr)
+		if !ok || !slices.Contains([]string{"Debug", "Info", "Warn", "Error"}, method.Sel.Name) {
+			return true
+		}
+		if literal, ok := call.Args[0].(*ast.BasicLit); ok && literal.Kind == token.STRING {
+			message, err := strconv.Unquote(literal.Value)
+			assert.NilError(t, err)
+			out = append(out, message)
+		}
+		return true
+	})
+	return out
+}
+
+// The decisions and changes of belief that explain a failed request must leave lines;
+// their fields are checked as they are written.
+func TestDecisionsAreLogged(t *testing.T) {
+	c := newCluster(t)
+	a1 := c.worker(app("a1"))
+	c.worker(engine("e1"))
+	f, other := c.front(), c.front()
+	f.call("refused", http.MethodGet, "/look/x", "", "Authorization", "Token nobody")
+	a1.Fail(2, platform.FaultReset)
+	for i := range 3 {
+		f.call(fmt.Sprintf("unsafe-%d", i), http.MethodPost, "/post/x", "entry")
+	}
+	a1.Fail(0, "")
+	c.eventually("the endpoint is restored", func() bool {
+		f.call("look", http.MethodGet, "/look/x", "")
+		return c.lines.saw("endpoint restored")
+	})
+	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+	c.eventually("the weights change", func() bool { return c.lines.saw("weights changed") })
+	f.gate.Close()
+	assert.NilError(t, other.kernel.Stop(context.Background()))
+	for _, message := range []string{
+		"serving callers", "router registered", "configuration in force", "endpoint known", "router known",
+		"request refused", "try failed", "request ended", "endpoint suspended", "endpoint restored",
+		"weights named", "order lease changed", "change of weights begins", "order sent", "weights changed",
+		"store lost", "router lost",
+	} {
+		c.eventually(message, func() bool { return c.lines.saw(message) })
+	}
+}
--- a/cmd/arbutus-front/main.go
+++ b/cmd/arbutus-front/main.go
@@ -14,6 +14,7 @@
 	"github.com/arbutusline/arbutusline/modules/logging"
 	"github.com/arbutusline/arbutusline/modules/node"
 	"github.com/arbutusline/arbutusline/modules/relay"
+	"github.com/arbutusline/arbutusline/modules/status"
 	"github.com/arbutusline/arbutusline/modules/upgrade"
 	"github.com/arbutusline/arbutusline/modules/upstream"
 	"github.com/arbutusline/arbutusline/process"
@@ -23,7 +24,7 @@
 // server for callers is the last to start and the first to stop.
 var modules = []string{
 	logging.Name, node.Name, admin.Name, grpcserver.Name, upstream.Name, directory.Name,
-	relay.Name, cacheevents.Name, exchange.Name, upgrade.Name, ingress.Name,
+	relay.Name, cacheevents.Name, exchange.Name, upgrade.Name, status.Name, ingress.Name,
 }
 
 func main() {
--- /dev/null
+++ b/cmd/arbutus-front/reload_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/settings"
+)
+
+const reloadBase = `"node": {"id": "n", "role": "router", "zone": "a"}, "grpc": {"listen": "127.0.0.1:0"},
+	"directory": {"store": "127.0.0.1:1", "advertise": "127.0.0.1:2"}`
+
+func reloadKernel(t *testing.T) *arbutusline.Kernel {
+	k := arbutusline.New(reloadFile(t, `"ingress": {"listen": "127.0.0.1:0"}, "upgrade": {"holder": "h"}`), logrus.NewEntry(logrus.New()))
+	assert.NilError(t, k.Load(modules...))
+	return k
+}
+
+func reloadFile(t *testing.T, more string) settings.File {
+	f, err := settings.Parse([]byte("{" + reloadBase + ",\n" + more + "}"))
+	assert.NilError(t, err)
+	return f
+}
+
+// Settings that a running router can take are applied; others are named, so that an
+// operator does not believe that they are in force.
+func TestReloadAppliesSettingsAndNamesTheRest(t *testing.T) {
+	k := reloadKernel(t)
+	r, err := k.Reload(reloadFile(t, `"ingress": {"listen": "127.0.0.1:7", "linger": "1s"}, "upgrade": {"holder": "h", "turn_pause": "4s"},
+		"relay": {"retry_ratio": 0.1, "retry_slack": 3, "old_weights_limit": "4s"}, "exchange": {"seeds": ["127.0.0.1:9"]}, "log": {"level": "debug"}`))
+	assert.NilError(t, err)
+	slices.Sort(r.Applied)
+	assert.DeepEqual(t, r.Applied, []string{"exchange", "ingress", "log", "relay", "upgrade"})
+	assert.DeepEqual(t, r.Pending, []string{"ingress"})
+	assert.Equal(t, k.Log.Logger.GetLevel(), logrus.DebugLevel)
+
+	r, err = k.Reload(reloadFile(t, `"ingress": {"listen": "127.0.0.1:0", "linger": "1s"}, "upgrade": {"holder": "h", "turn_pause": "4s"},
+		"relay": {"retry_ratio": 0.1, "retry_slack": 3, "old_weights_limit": "4s"}, "exchange": {"seeds": ["127.0.0.1:9"]}, "log": {"level": "debug"}`))
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Applied)+len(r.Pending), 0, "%v", r)
+}
+
+// A file with one bad value must not be applied in part.
+func TestReloadOfInvalidSettingsChangesNothing(t *testing.T) {
+	k := reloadKernel(t)
+	before, err := k.Effective()
+	assert.NilError(t, err)
+	for _, more := range []string{
+		`"log": {"level": "debug"}, "relay": {"retry_ratio": -1}, "ingress": {"listen": "x"}, "upgrade": {"holder": "h"}`,
+		`"log": {"level": "debug"}, "relay": {"retry_rate": 1}, "ingress": {"listen": "x"}, "upgrade": {"holder": "h"}`,
+		`"log": {"level": "debug"}, "other": {}, "ingress": {"listen": "x"}, "upgrade": {"holder": "h"}`,
+	} {
+		_, err := k.Reload(reloadFile(t, more))
+		assert.ErrorContains(t, err, "line 3")
+		after, err := k.Effective()
+		assert.NilError(t, err)
+		assert.Equal(t, string(after), string(before))
+	}
+}
--- a/cmd/arbutusctl/explainlogs.go
+++ b/cmd/arbutusctl/explainlogs.go
@@ -16,20 +16,22 @@
 
 // logLine is what a process logged about a request.
 type logLine struct {
-	At       time.Time `json:"time"`
-	Module   string    `json:"module"`
-	Message  string    `json:"msg"`
-	Request  string    `json:"request"`
-	Result   string    `json:"result,omitempty"`
-	Outcome  string    `json:"outcome,omitempty"`
-	Reason   string    `json:"reason,omitempty"`
-	Endpoint string    `json:"endpoint,omitempty"`
-	Error    string    `json:"error,omitempty"`
-	Status   int       `json:"status,omitempty"`
-	Try      int       `json:"try,omitempty"`
-	Tries    int       `json:"tries,omitempty"`
-	AgeMS    int64     `json:"age_ms,omitempty"`
-	TookMS   int64     `json:"took_ms,omitempty"`
+	At      time.Time `json:"time"`
+	Module  string    `json:"module"`
+	Message string    `json:"msg"`
+	Request string    `json:"request"`
+	Result  string    `json:"result,omitempty"`
+	Outcome string    `json:"outcome,omitempty"`
+	Reason  string    `json:"reason,omitempty"`
+	// NotRetried is why there was no further try.
+	NotRetried string `json:"not_retried,omitempty"`
+	Endpoint   string `json:"endpoint,omitempty"`
+	Error      string `json:"error,omitempty"`
+	Status     int    `json:"status,omitempty"`
+	Try        int    `json:"try,omitempty"`
+	Tries      int    `json:"tries,omitempty"`
+	AgeMS      int64  `json:"age_ms,omitempty"`
+	TookMS     int64  `json:"took_ms,omitempty"`
 	// Prefix is what stood before the JSON text, such as the name of the host.
 	Prefix string `json:"prefix,omitempty"`
 }
@@ -112,6 +114,7 @@
 	add("outcome", l.Outcome)
 	add("result", l.Result)
 	add("reason", l.Reason)
+	add("not_retried", l.NotRetried)
 	add("endpoint", l.Endpoint)
 	if l.Status != 0 {
 		add("status", fmt.Sprint(l.Status))
@@ -139,8 +142,28 @@
 	"no_configuration":    "the router had no configuration yet",
 }
 
-// causeOf names the cause of the last line that has one.
+// denials explains why there was no further try.
+var denials = map[string]string{
+	"time":              "its time ended",
+	"attempts":          "it had all its tries",
+	"budget":            "the service's retry budget was used up",
+	"may_have_run":      "its route does not allow it to run twice",
+	"crashes_endpoints": "it breaks connections wherever it runs",
+}
+
+// causeOf names the cause, and why there was no further try.
 func causeOf(lines []logLine) string {
+	cause := lastCause(lines)
+	for _, l := range slices.Backward(lines) {
+		if text, ok := denials[l.NotRetried]; ok {
+			return cause + "; it was not tried again because " + text
+		}
+	}
+	return cause
+}
+
+// lastCause names the cause of the last line that has one.
+func lastCause(lines []logLine) string {
 	for _, l := range slices.Backward(lines) {
 		if l.Outcome == "served" {
 			return "the request was served"
--- a/cmd/arbutusctl/status.go
+++ b/cmd/arbutusctl/status.go
@@ -53,6 +53,13 @@
 	if len(given) == 0 {
 		return failf(errUsage, "no process to ask: give --router, --agent or a settings file")
 	}
+	if entry, ok := describeAll(s, given); ok && slices.ContainsFunc(entry.Routers, func(r entryStatus) bool { return r.Error == "" }) {
+		s.printEntryFleet(entry)
+		if c.Strict && len(entry.Faults) > 0 {
+			return failf(errBehind, "%d faults", len(entry.Faults))
+		}
+		return nil
+	}
 	book := &statusBook{byKey: map[string]*processStatus{}}
 	answered := book.ask(s, given)
 	if answered == 0 {
--- a/decision/budget/budget.go
+++ b/decision/budget/budget.go
@@ -78,6 +78,12 @@
 	return true
 }
 
+// Counts returns the first attempts and the retries of the window.
+func (r *Retry) Counts(now time.Duration) (first, retry int) {
+	r.advance(now)
+	return r.sumFirst, r.sumRetry
+}
+
 func (r *Retry) allowed(firsts int) float64 {
 	if r.Ratio == 0 {
 		return float64(firsts/FirstPerRetry) + r.Slack
--- a/decision/lease/lease.go
+++ b/decision/lease/lease.go
@@ -86,6 +86,13 @@
 // New returns a machine that knows nothing of the record.
 func New(cfg Config) *Machine { return &Machine{cfg: cfg} }
 
+// SetPause replaces the pause between two holders. A shorter one applies to the next
+// takeover, also if the wait has begun.
+func (m *Machine) SetPause(pause time.Duration) { m.cfg.Pause = pause }
+
+// Record returns the record as this router last saw it; the zero Record before.
+func (m *Machine) Record() Record { return m.record }
+
 // Next returns the call to make now. Work is true while there are orders to
 // give.
 func (m *Machine) Next(now time.Duration, work bool) Action {
--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -231,6 +231,22 @@
 	return Unchanged
 }
 
+// Health is what the choice goes by of an endpoint's failures.
+type Health struct {
+	// FailureShare is the weighted share of failed requests, from 0 to 1.
+	FailureShare float64
+	// Suspensions counts the suspensions in a row.
+	Suspensions int
+	// SuspendedFor is the time for which the endpoint gets no requests.
+	SuspendedFor time.Duration
+}
+
+// Health returns the endpoint's failures.
+func (s *Selector) Health(now time.Duration, endpoint string) Health {
+	st := s.endpoint(endpoint)
+	return Health{FailureShare: st.failure, Suspensions: st.suspensions, SuspendedFor: max(0, st.until-now)}
+}
+
 func (st *endpointState) suspend(now time.Duration) {
 	if now < st.until {
 		return
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -111,6 +111,9 @@
 	return &Selector{cfg: cfg, zone: zone, state: map[string]*endpointState{}, parts: newPartTable(cfg.MaxParts), covers: map[string]coverage{}}
 }
 
+// SetOldWeightsLimit replaces the limit of the configuration.
+func (s *Selector) SetOldWeightsLimit(limit time.Duration) { s.cfg.OldWeightsLimit = limit }
+
 // Select chooses an endpoint of the request's service, or returns false when
 // none may take it. Now is a time since an arbitrary origin, wall the time that
 // View.Named refers to.
--- a/kernel.go
+++ b/kernel.go
@@ -66,8 +66,8 @@
 		if !ok {
 			continue
 		}
-		if err := v.Validate(); err != nil {
-			return errors.Wrapf(err, "settings of %s", m.ModuleName())
+		if err := k.settings.At(m.ModuleName(), v.Validate()); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/module.go
+++ b/module.go
@@ -16,7 +16,7 @@
 )
 
 // Module is a unit of function of a process. A module may also implement
-// Provisioner, Validator, Starter and Stopper.
+// Provisioner, Validator, Starter, Reloader and Stopper.
 type Module interface {
 	// ModuleName returns the name that the module is registered under.
 	ModuleName() string
@@ -40,6 +40,14 @@
 	Start(ctx context.Context) error
 }
 
+// Reloader is implemented by modules that take changed settings while they run.
+// Reload gets a module of the same type that holds the new settings; it has been
+// validated, but not provisioned. Settings that Reload does not copy take effect at
+// the next start.
+type Reloader interface {
+	Reload(next Module)
+}
+
 // Stopper is implemented by modules that hold connections or goroutines. Stop
 // waits for running work until ctx ends.
 type Stopper interface {
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -157,6 +159,14 @@
 	return nil
 }
 
+// Reload takes the seeds and the fanout.
+func (x *Exchange) Reload(next arbutusline.Module) {
+	n := next.(*Exchange)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.Seeds, x.Fanout = n.Seeds, n.Fanout
+}
+
 // Start begins the rounds.
 func (x *Exchange) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -254,6 +264,18 @@
 	return ready
 }
 
+// Peers returns the other routers, ordered by address.
+func (x *Exchange) Peers() []*arbutuspb.RouterPeer {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := make([]*arbutuspb.RouterPeer, 0, len(x.peers))
+	for _, p := range x.peers {
+		out = append(out, &arbutuspb.RouterPeer{Address: p.address, Lost: p.lost, StoreLost: p.storeLost})
+	}
+	slices.SortFunc(out, func(a, b *arbutuspb.RouterPeer) int { return strings.Compare(a.Address, b.Address) })
+	return out
+}
+
 // rank returns the position of this router, by address, among those that answer
 // and reach the store. The caller holds mu.
 func (x *Exchange) rank() (rank, routers int) {
@@ -276,6 +298,7 @@
 		return
 	}
 	x.peers[address] = &peer{address: address, heard: time.Now()}
+	x.log.WithField("address", address).Info("router known")
 }
 
 func (x *Exchange) call(ctx context.Context, p *peer) {
--- a/modules/grpcserver/grpcserver.go
+++ b/modules/grpcserver/grpcserver.go
@@ -3,6 +3,7 @@
 package grpcserver
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -47,9 +48,6 @@
 // Provision creates the server, so that other modules can register services.
 func (s *Server) Provision(k *arbutusline.Kernel) error {
 	s.log = k.Log.WithField("module", Name)
-	if s.Advertise == "" {
-		s.Advertise = s.Listen
-	}
 	s.server = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.InitialWindowSize(windowBytes),
@@ -63,7 +61,7 @@
 func (s *Server) Registrar() grpc.ServiceRegistrar { return s.server }
 
 // Address returns the address that other processes use.
-func (s *Server) Address() string { return s.Advertise }
+func (s *Server) Address() string { return cmp.Or(s.Advertise, s.Listen) }
 
 // Start opens the listener and serves.
 func (s *Server) Start(context.Context) error {
--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -108,6 +108,9 @@
 	return nil
 }
 
+// Reload takes the linger time.
+func (g *Ingress) Reload(next arbutusline.Module) { g.Linger = next.(*Ingress).Linger }
+
 // Start opens the listener and serves.
 func (g *Ingress) Start(context.Context) error {
 	listener, err := net.Listen("tcp", g.Listen)
@@ -193,7 +196,7 @@
 	job := &relay.Job{
 		ID: r.Header.Get(platform.HeaderRequestID), Method: r.Method, URI: target(r), Host: r.Host, Header: r.Header,
 		Body: body, Route: route, Team: team, Service: route.Pick(rand.Float64()), Arrived: arrived,
-		LastEventID: r.Header.Get(platform.HeaderLastEventID),
+		Configuration: config.Version, LastEventID: r.Header.Get(platform.HeaderLastEventID),
 	}
 	return job, complete(job, r.Header)
 }
@@ -306,7 +309,7 @@
 func (g *Ingress) logReport(job *relay.Job, r relay.Report) {
 	entry := g.log.WithFields(logrus.Fields{
 		"request": job.ID, "route": job.Route.Name, "team": teamName(job), "outcome": r.Outcome, "tries": r.Tries,
-		"endpoint": r.Endpoint, "first_ms": r.First.Milliseconds(), "took_ms": time.Since(job.Arrived).Milliseconds(),
+		"endpoint": r.Endpoint, "configuration": job.Configuration, "first_ms": r.First.Milliseconds(), "took_ms": time.Since(job.Arrived).Milliseconds(),
 	})
 	if r.SharedTokens > 0 {
 		entry = entry.WithFields(logrus.Fields{"cached": r.CachedTokens, "shared": r.SharedTokens, "fetch_from": r.FetchFrom})
@@ -314,6 +317,9 @@
 	if r.Reason != "" {
 		entry = entry.WithField("reason", r.Reason)
 	}
+	if r.Denied != "" {
+		entry = entry.WithField("not_retried", r.Denied)
+	}
 	if r.Outcome != relay.OutcomeServed || r.Reason != "" {
 		entry.Warn("request ended")
 		return
--- a/modules/logging/logging.go
+++ b/modules/logging/logging.go
@@ -21,25 +21,52 @@
 	Level string `json:"level"`
 	// Format is "json" or "text". Default "json".
 	Format string `json:"format"`
+
+	logger *logrus.Logger
+}
+
+// formatters are the formats by their names in the settings.
+var formatters = map[string]logrus.Formatter{
+	"json": &logrus.JSONFormatter{},
+	"text": &logrus.TextFormatter{FullTimestamp: true},
 }
 
 // ModuleName returns "log".
 func (l *Logging) ModuleName() string { return Name }
 
-// Provision applies the settings to the kernel's logger.
+// Provision applies the settings to the kernel's logger, so that the modules that
+// follow log with them.
 func (l *Logging) Provision(k *arbutusline.Kernel) error {
-	level, err := logrus.ParseLevel(l.Level)
-	if err != nil {
+	l.logger = k.Log.Logger
+	if err := l.Validate(); err != nil {
+		return err
+	}
+	l.apply()
+	return nil
+}
+
+// Validate checks level and format.
+func (l *Logging) Validate() error {
+	if _, err := logrus.ParseLevel(l.Level); err != nil {
 		return errors.Wrap(err, "level")
 	}
-	k.Log.Logger.SetLevel(level)
-	switch l.Format {
-	case "json":
-		k.Log.Logger.SetFormatter(&logrus.JSONFormatter{})
-	case "text":
-		k.Log.Logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
-	default:
+	if formatters[l.Format] == nil {
 		return errors.Newf("format %q is neither \"json\" nor \"text\"", l.Format)
 	}
 	return nil
 }
+
+// Reload takes level and format.
+func (l *Logging) Reload(next arbutusline.Module) {
+	n := next.(*Logging)
+	l.Level, l.Format = n.Level, n.Format
+	l.apply()
+}
+
+// apply sets level and format, which have been validated.
+func (l *Logging) apply() {
+	if level, err := logrus.ParseLevel(l.Level); err == nil {
+		l.logger.SetLevel(level)
+	}
+	l.logger.SetFormatter(formatters[l.Format])
+}
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -148,7 +148,9 @@
 			return
 		}
 		x.note(choice)
-		if !x.again(ctx) {
+		if d := x.denied(ctx); d != "" {
+			x.report.Denied = d
+			x.relay.metrics.denied.WithLabelValues(string(d)).Inc()
 			x.giveUp(ctx, resultNames[x.last.kind])
 			return
 		}
@@ -195,7 +197,8 @@
 	x.log.WithFields(logrus.Fields{
 		"endpoint": c.Endpoint.ID, "address": c.Endpoint.Address, "try": x.tries, "result": resultNames[x.last.kind],
 		"status": x.last.status, "weights": c.Weights, "cost_ms": c.Cost.Milliseconds(),
-		"age_ms": time.Since(x.job.Arrived).Milliseconds(), "last_event": x.lastID,
+		"age_ms": time.Since(x.job.Arrived).Milliseconds(), "left_ms": time.Until(x.job.Expires).Milliseconds(),
+		"last_event": x.lastID, "configuration": x.job.Configuration,
 	}).WithError(x.last.err).Warn("try failed")
 	if x.last.kind == broken {
 		x.strike(c.Endpoint.ID)
@@ -206,25 +209,42 @@
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.strikes.Add(r.now(), strikes.Strike{Fingerprint: x.fingerprint, Endpoint: endpoint})
+	r.struck(strikes.Strike{Fingerprint: x.fingerprint, Endpoint: endpoint}, "own")
 }
 
-// again decides after a failed try whether the job may be tried once more.
-func (x *execution) again(ctx context.Context) bool {
+// denied returns why a job may not be tried once more after a failed try, or "".
+func (x *execution) denied(ctx context.Context) Denial {
 	if ctx.Err() != nil {
-		return false
+		return DeniedTime
 	}
 	switch x.last.kind {
 	case unsent:
-		return x.unsent < maxUnsent
+		return deniedUnless(x.unsent < maxUnsent, DeniedAttempts)
 	case moved, hung:
 		// The retry was taken from the budget before the try was ended.
-		return x.last.reserved
+		return deniedUnless(x.last.reserved, DeniedTime)
 	case refused:
-		return x.refused <= maxRefused && x.relay.allowRetry(x.job.Service)
+		if x.refused > maxRefused {
+			return DeniedAttempts
+		}
+		return deniedUnless(x.relay.allowRetry(x.job.Service), DeniedBudget)
+	}
+	switch {
+	case !x.job.Route.Repeatable():
+		return DeniedUnsafe
+	case x.ran >= x.job.Route.MaxAttempts:
+		return DeniedAttempts
+	case x.crashes():
+		return DeniedCrashes
+	}
+	return deniedUnless(x.relay.allowRetry(x.job.Service), DeniedBudget)
+}
+
+func deniedUnless(allowed bool, d Denial) Denial {
+	if allowed {
+		return ""
 	}
-	return x.job.Route.Repeatable() && x.ran < x.job.Route.MaxAttempts && !x.crashes() &&
-		x.relay.allowRetry(x.job.Service)
+	return d
 }
 
 // place chooses an endpoint. It waits for a part of the latency objective when
@@ -335,6 +355,7 @@
 // refuse tells the caller that the job has not run and never will.
 func (x *execution) refuse(reason string, after time.Duration) {
 	x.report.Outcome, x.report.Reason = OutcomeRefused, reason
+	x.relay.metrics.refusals.WithLabelValues(reason).Inc()
 	x.answer(http.StatusServiceUnavailable, after)
 }
 
--- a/modules/relay/job.go
+++ b/modules/relay/job.go
@@ -27,6 +27,8 @@
 	Arrived time.Time
 	// Expires is when the caller stops waiting or the route's timeout ends.
 	Expires time.Time
+	// Configuration is the version that the job was checked against.
+	Configuration uint64
 	// LastEventID is where the caller resumes a stream, empty at its start.
 	LastEventID string
 }
@@ -85,11 +87,30 @@
 	OutcomeCallerLeft Outcome = "caller_left"
 )
 
+// Denial is why a job was not tried again.
+type Denial string
+
+// Reasons for which a job is not tried again.
+const (
+	// DeniedTime means that the job's time ended.
+	DeniedTime Denial = "time"
+	// DeniedAttempts means that it had all the tries that it may have.
+	DeniedAttempts Denial = "attempts"
+	// DeniedBudget means that the service's retry budget was used up.
+	DeniedBudget Denial = "budget"
+	// DeniedUnsafe means that it may have run and must not run twice.
+	DeniedUnsafe Denial = "may_have_run"
+	// DeniedCrashes means that it broke the connections of too many endpoints.
+	DeniedCrashes Denial = "crashes_endpoints"
+)
+
 // Report tells what happened to a job.
 type Report struct {
 	Outcome Outcome
 	// Reason is the last failure, empty for jobs served at the first try.
 	Reason string
+	// Denied is why the job was not tried again, empty when it was answered.
+	Denied Denial
 	// Tries counts the endpoints that the job was sent to.
 	Tries    int
 	Endpoint string
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -69,7 +69,9 @@
 	selector *selection.Selector
 	strikes  *strikes.Table
 	budgets  map[string]*budget.Retry
-	loads    map[string]remoteLoad
+	// budgetSeen is the last logged state of each budget.
+	budgetSeen map[string]budgetSeen
+	loads      map[string]remoteLoad
 	// live holds the tries under way by endpoint.
 	live map[string]map[*try]bool
 	// asking holds the engines that are being asked for their weights.
@@ -96,6 +98,7 @@
 	r.log = k.Log.WithField("module", Name)
 	r.origin = time.Now()
 	r.strikes, r.budgets, r.loads = strikes.New(), map[string]*budget.Retry{}, map[string]remoteLoad{}
+	r.budgetSeen = map[string]budgetSeen{}
 	r.live, r.asking = map[string]map[*try]bool{}, map[string]bool{}
 	r.begin()
 	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
@@ -161,6 +164,15 @@
 	return nil
 }
 
+// Reload takes the retry budget and the limit for old weights.
+func (r *Relay) Reload(next arbutusline.Module) {
+	n := next.(*Relay)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.RetryRatio, r.RetrySlack, r.OldWeightsLimit = n.RetryRatio, n.RetrySlack, n.OldWeightsLimit
+	r.selector.SetOldWeightsLimit(r.OldWeightsLimit.D())
+}
+
 func (r *Relay) now() time.Duration { return time.Since(r.origin) }
 
 func (r *Relay) onView(v *fleet.View) {
@@ -237,8 +249,16 @@
 func (r *Relay) Struck(s strikes.Strike) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.struck(s, "router")
+}
+
+// struck records a strike and logs the one from which on the request is refused. The
+// caller holds mu.
+func (r *Relay) struck(s strikes.Strike, source string) {
 	if r.strikes.Add(r.now(), s) && r.strikes.Refused(r.now(), s.Fingerprint) {
-		r.log.WithFields(logrus.Fields{"fingerprint": s.Fingerprint, "source": "router"}).Warn("request refused from now on: it crashes endpoints")
+		r.log.WithFields(logrus.Fields{
+			"fingerprint": s.Fingerprint, "endpoint": s.Endpoint, "age_ms": s.Age.Milliseconds(), "source": source,
+		}).Warn("request refused from now on: it crashes endpoints")
 	}
 }
 
@@ -292,6 +312,14 @@
 	return r.selector.Running(endpoint), r.selector.Long(endpoint)
 }
 
+// Use returns whether this router sends requests to an endpoint, or why not, with
+// the requests and unread prompt tokens that all routers have there.
+func (r *Relay) Use(e *fleet.Endpoint) (use selection.Use, running, unread int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.selector.Use(r.now(), e), r.selector.Running(e.ID), r.selector.Unread(e.ID)
+}
+
 // track notes a try under way, or its end.
 func (r *Relay) track(t *try, live bool) {
 	r.mu.Lock()
@@ -323,7 +351,36 @@
 	routers := len(r.directory.Routers()) + 1
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budget(service, routers).Allow(r.now())
+	b := r.budget(service, routers)
+	allowed := b.Allow(r.now())
+	r.noteBudget(service, b, allowed)
+	return allowed
+}
+
+// noteBudget logs when a service's retry budget is used up or has room again, at
+// most once in budgetLogPause. The caller holds mu.
+func (r *Relay) noteBudget(service string, b *budget.Retry, allowed bool) {
+	seen := r.budgetSeen[service]
+	if seen.used == !allowed || seen.used && r.now()-seen.at < budgetLogPause {
+		return
+	}
+	r.budgetSeen[service] = budgetSeen{used: !allowed, at: r.now()}
+	firsts, retries := b.Counts(r.now())
+	log := r.log.WithFields(logrus.Fields{"service": service, "first": firsts, "retries": retries, "slack": b.Slack})
+	if allowed {
+		log.Info("retry budget has room")
+	} else {
+		log.Warn("retry budget used up")
+	}
+}
+
+// budgetLogPause bounds the lines about a budget that is used up again and again.
+const budgetLogPause = time.Second
+
+// budgetSeen is what was logged of a retry budget, and when.
+type budgetSeen struct {
+	used bool
+	at   time.Duration
 }
 
 func (r *Relay) countFirst(service string) {
@@ -337,9 +394,10 @@
 func (r *Relay) budget(service string, routers int) *budget.Retry {
 	b := r.budgets[service]
 	if b == nil {
-		b = &budget.Retry{Ratio: r.RetryRatio * budgetUse}
+		b = &budget.Retry{}
 		r.budgets[service] = b
 	}
+	b.Ratio = r.RetryRatio * budgetUse
 	if routers > 0 {
 		b.Slack = r.RetrySlack * budgetUse / float64(routers)
 	}
@@ -356,6 +414,8 @@
 type metrics struct {
 	requests *prometheus.CounterVec
 	retries  *prometheus.CounterVec
+	denied   *prometheus.CounterVec
+	refusals *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	cached   prometheus.Counter
 	read     prometheus.Counter
@@ -368,6 +428,12 @@
 	m.retries = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "arbutus_retries_total", Help: "Further attempts by the reason for which the one before failed.",
 	}, []string{"reason"})
+	m.denied = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_retries_denied_total", Help: "Failed attempts after which there was no further one, by reason.",
+	}, []string{"reason"})
+	m.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_refusals_total", Help: "Requests that were refused and have not run, by reason.",
+	}, []string{"reason"})
 	m.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "arbutus_first_answer_seconds", Help: "Time from arrival to the answer or first event.",
 		Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
@@ -378,5 +444,5 @@
 	m.read = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "arbutus_prompt_tokens_expected_read_total", Help: "Prompt tokens believed to be read by the engine.",
 	})
-	r.MustRegister(m.requests, m.retries, m.latency, m.cached, m.read)
+	r.MustRegister(m.requests, m.retries, m.denied, m.refusals, m.latency, m.cached, m.read)
 }
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -261,22 +261,26 @@
 	case callerLeft, moved:
 		outcome = selection.Neutral
 	}
-	switch t.settle(outcome, res.kind == done) {
+	change, health := t.settle(outcome, res.kind == done)
+	log := t.log.WithFields(logrus.Fields{
+		"endpoint": t.choice.Endpoint.ID, "address": t.choice.Endpoint.Address, "result": resultNames[res.kind],
+		"failure_share": health.FailureShare, "suspensions": health.Suspensions,
+	})
+	switch change {
 	case selection.Suspended:
-		t.log.WithFields(logrus.Fields{
-			"endpoint": t.choice.Endpoint.ID, "address": t.choice.Endpoint.Address, "result": resultNames[res.kind],
-		}).Warn("endpoint suspended")
+		log.WithField("for_ms", health.SuspendedFor.Milliseconds()).Warn("endpoint suspended")
 	case selection.Restored:
-		t.log.WithField("endpoint", t.choice.Endpoint.ID).Info("endpoint restored")
+		log.Info("endpoint restored")
 	}
 }
 
-func (t *try) settle(o selection.Outcome, completed bool) selection.Change {
+func (t *try) settle(o selection.Outcome, completed bool) (selection.Change, selection.Health) {
 	r := t.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if completed {
 		r.strikes.Completed(t.fingerprint)
 	}
-	return r.selector.Ended(r.now(), t.request(), t.choice, o)
+	change := r.selector.Ended(r.now(), t.request(), t.choice, o)
+	return change, r.selector.Health(r.now(), t.choice.Endpoint.ID)
 }
--- a/modules/upgrade/change.go
+++ b/modules/upgrade/change.go
@@ -96,6 +96,9 @@
 // the others until shortly before its load. It returns false when ctx ended.
 func (u *Upgrade) prepare(ctx context.Context, s step) bool {
 	u.exchange.Announce(s.endpoint.ID, s.model, s.version, arbutuspb.ChangeStage_CHANGE_STAGE_SOON)
+	u.log.WithFields(logrus.Fields{
+		"endpoint": s.endpoint.ID, "model": s.model, "weights": s.version, "from": s.endpoint.Weights[s.model],
+	}).Info("change of weights begins")
 	begun := time.Now()
 	for ctx.Err() == nil {
 		wait.For(ctx, prepareStep)
@@ -111,6 +114,9 @@
 
 // postpone lets other engines go first.
 func (u *Upgrade) postpone(s step) {
+	u.log.WithFields(logrus.Fields{
+		"endpoint": s.endpoint.ID, "model": s.model, "weights": s.version, "misses": maxMisses, "for_ms": postponeFor.Milliseconds(),
+	}).Info("change of weights postponed")
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.postponed[s.key()] = time.Now().Add(postponeFor)
--- a/modules/upgrade/upgrade.go
+++ b/modules/upgrade/upgrade.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/api/arbutuspb"
 	"github.com/arbutusline/arbutusline/decision/lease"
 	"github.com/arbutusline/arbutusline/fleet"
 	"github.com/arbutusline/arbutusline/modules/admin"
@@ -152,6 +153,15 @@
 	return nil
 }
 
+// Reload takes the pause between holders and the time limit.
+func (u *Upgrade) Reload(next arbutusline.Module) {
+	n := next.(*Upgrade)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.TurnPause, u.TimeLimit = n.TurnPause, n.TimeLimit
+	u.lease.SetPause(u.TurnPause.D())
+}
+
 // Start begins to look for work.
 func (u *Upgrade) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -201,6 +211,15 @@
 	}
 }
 
+// Lease returns the right to give orders as this router last saw it.
+func (u *Upgrade) Lease() *arbutuspb.OrderLease {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	r := u.lease.Record()
+	_, held := u.lease.MayOrder(clock())
+	return &arbutuspb.OrderLease{Holder: r.Holder, Fence: r.Fence, Held: held}
+}
+
 func (u *Upgrade) noteLeader() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -237,6 +256,9 @@
 	defer u.mu.Unlock()
 	switch {
 	case err == nil && a.Kind == lease.Read:
+		if was := u.lease.Record(); r.Fence != was.Fence || r.Holder != was.Holder {
+			u.log.WithFields(logrus.Fields{"holder": r.Holder, "fence": r.Fence, "revision": o.Metadata.Revision}).Info("order lease seen")
+		}
 		u.lease.Observed(clock(), r, o.Metadata.Revision)
 	case err == nil:
 		u.lease.Wrote(a.Record, o.Metadata.Revision)
--- a/process/process.go
+++ b/process/process.go
@@ -34,7 +34,7 @@
 }
 
 // Main runs the named modules until SIGTERM or SIGINT and returns the exit
-// code. A second signal ends the process at once.
+// code. A second signal ends the process at once. SIGHUP reads the settings again.
 func Main(program, description string, modules ...string) int {
 	var f flags
 	kong.Parse(&f, kong.Name(program), kong.Description(description))
@@ -58,7 +58,7 @@
 	if f.Check {
 		return ExitOK
 	}
-	if err := run(kernel, f.StopTimeout); err != nil {
+	if err := run(kernel, f.Settings, f.StopTimeout); err != nil {
 		entry.WithError(err).Error("ended with an error")
 		return ExitFailure
 	}
@@ -86,21 +86,17 @@
 	fmt.Println(string(text))
 }
 
-func run(kernel *arbutusline.Kernel, stopTimeout time.Duration) error {
+func run(kernel *arbutusline.Kernel, path string, stopTimeout time.Duration) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	go func() {
-		for range hangups {
-			kernel.Log.Info("reload requested; settings are read at the start only")
-		}
-	}()
 	if err := kernel.Start(context.Background()); err != nil {
 		return err
 	}
 	kernel.Log.Info("started")
-	kernel.Log.WithField("signal", (<-signals).String()).Info("stopping")
+	stop := reloadUntil(signals, hangups, kernel, path)
+	kernel.Log.WithField("signal", stop.String()).Info("stopping")
 
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
@@ -112,3 +108,32 @@
 	kernel.Log.Info("stopped")
 	return errors.Wrap(err, "graceful shutdown")
 }
+
+// reloadUntil reads the settings again at each hangup, until a signal asks for the
+// end of the process.
+func reloadUntil(signals, hangups <-chan os.Signal, kernel *arbutusline.Kernel, path string) os.Signal {
+	for {
+		select {
+		case s := <-signals:
+			return s
+		case <-hangups:
+			reload(kernel, path)
+		}
+	}
+}
+
+// reload takes the settings at path, or logs why they are not usable and keeps those
+// in force.
+func reload(kernel *arbutusline.Kernel, path string) {
+	var r arbutusline.Reloaded
+	file, err := settings.Read(path)
+	if err == nil {
+		r, err = kernel.Reload(file)
+	}
+	log := kernel.Log.WithFields(logrus.Fields{"file": path, "applied": r.Applied, "next_start": r.Pending})
+	if err != nil {
+		log.WithError(err).Error("settings not reloaded; the former ones stay in force")
+		return
+	}
+	log.Info("settings reloaded")
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,14 +1,16 @@
 // Package settings reads process settings: JSON with comments, one object per
-// module, unknown fields refused.
+// module, unknown fields refused. Errors name the file and the line.
 package settings
 
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"os"
 	"slices"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,9 +20,18 @@
 // ErrInvalid is the cause of every error about the content of a settings file.
 var ErrInvalid = errors.New("invalid settings")
 
-// File holds the settings of one process, one raw object per module name.
+// File holds the settings of one process, one object per module name.
 type File struct {
-	modules map[string]json.RawMessage
+	path    string
+	text    []byte
+	modules map[string]section
+}
+
+// section is the object of one module. Start is its offset in the file.
+type section struct {
+	raw   json.RawMessage
+	value hujson.Value
+	start int
 }
 
 // Read reads the file at path. An empty path gives empty settings, so that
@@ -33,64 +44,156 @@
 	if err != nil {
 		return File{}, errors.Wrap(err, "read settings")
 	}
-	f, err := Parse(text)
-	return f, errors.Wrapf(err, "file %s", path)
+	return parse(path, text)
 }
 
 // Parse parses JSON with comments and trailing commas.
-func Parse(text []byte) (File, error) {
+func Parse(text []byte) (File, error) { return parse("settings", text) }
+
+func parse(path string, text []byte) (File, error) {
+	f := File{path: path, text: text, modules: map[string]section{}}
+	root, err := hujson.Parse(text)
+	if err != nil {
+		// The error names line and column.
+		return File{}, errors.Mark(errors.Wrapf(err, "file %s", path), ErrInvalid)
+	}
+	// Comments become spaces, so that offsets stay those of the file.
 	standard, err := hujson.Standardize(text)
 	if err != nil {
-		return File{}, errors.Mark(err, ErrInvalid)
+		return File{}, errors.Mark(errors.Wrapf(err, "file %s", path), ErrInvalid)
+	}
+	object, ok := root.Value.(*hujson.Object)
+	if !ok {
+		return File{}, errors.Wrapf(ErrInvalid, "%s: expected an object with one object per module", f.place(root.StartOffset))
 	}
-	var f File
-	if err := json.Unmarshal(standard, &f.modules); err != nil {
-		return File{}, errors.Mark(err, ErrInvalid)
+	for _, m := range object.Members {
+		name := m.Name.Value.(hujson.Literal).String()
+		if _, twice := f.modules[name]; twice {
+			return File{}, errors.Wrapf(ErrInvalid, "%s: module %q appears twice", f.place(m.Name.StartOffset), name)
+		}
+		start, end := m.Value.StartOffset, m.Value.EndOffset
+		f.modules[name] = section{raw: standard[start:end], value: m.Value, start: start}
 	}
 	return f, nil
 }
 
+// place returns file and line of an offset.
+func (f File) place(offset int) string {
+	offset = max(0, min(offset, len(f.text)))
+	return fmt.Sprintf("file %s, line %d", f.path, 1+bytes.Count(f.text[:offset], []byte("\n")))
+}
+
+// At adds file and line of the named module's settings to an error about them.
+func (f File) At(name string, err error) error {
+	if err == nil {
+		return nil
+	}
+	err = errors.Mark(errors.Wrapf(err, "settings of %s", name), ErrInvalid)
+	s, ok := f.modules[name]
+	if !ok {
+		return err // All values are defaults.
+	}
+	return errors.Wrap(err, f.place(s.start))
+}
+
 // OnlyKnown fails when the file has settings for a module not in names.
 func (f File) OnlyKnown(names []string) error {
 	var unknown []string
-	for name := range f.modules {
+	first := len(f.text)
+	for name, s := range f.modules {
 		if !slices.Contains(names, name) {
 			unknown = append(unknown, name)
+			first = min(first, s.start)
 		}
 	}
 	if len(unknown) == 0 {
 		return nil
 	}
 	sort.Strings(unknown)
-	return errors.Wrapf(ErrInvalid, "settings for unknown modules %q, expected some of %q", unknown, names)
+	return errors.Wrapf(ErrInvalid, "%s: settings for unknown modules %q, expected some of %q", f.place(first), unknown, names)
 }
 
 // Decode writes the settings of the named module over the defaults in dst.
 func (f File) Decode(name string, dst any) error {
-	raw, ok := f.modules[name]
+	s, ok := f.modules[name]
 	if !ok {
 		return nil
 	}
-	d := json.NewDecoder(bytes.NewReader(raw))
+	d := json.NewDecoder(bytes.NewReader(s.raw))
 	d.DisallowUnknownFields()
-	if err := d.Decode(dst); err != nil {
-		return errors.Mark(errors.Wrapf(err, "settings of %s", name), ErrInvalid)
+	err := d.Decode(dst)
+	if err == nil {
+		return nil
 	}
-	return nil
+	offset := s.start + s.offset(err)
+	return errors.Mark(errors.Wrapf(err, "%s: settings of %s", f.place(offset), name), ErrInvalid)
+}
+
+// offset returns where in the section a decoding error lies, or 0.
+func (s section) offset(err error) int {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return int(wrongType.Offset)
+	}
+	var badDuration *durationError
+	if errors.As(err, &badDuration) {
+		return s.find(s.value, func(m hujson.ObjectMember) bool {
+			literal, ok := m.Value.Value.(hujson.Literal)
+			return ok && string(literal) == badDuration.text
+		})
+	}
+	// encoding/json has no type for this error.
+	_, quoted, _ := strings.Cut(err.Error(), "json: unknown field ")
+	field, unquoteErr := strconv.Unquote(quoted)
+	if unquoteErr != nil {
+		return 0
+	}
+	return s.find(s.value, func(m hujson.ObjectMember) bool {
+		return m.Name.Value.(hujson.Literal).String() == field
+	})
+}
+
+// find returns the offset within the section of the first member that matches.
+func (s section) find(v hujson.Value, matches func(hujson.ObjectMember) bool) int {
+	switch v := v.Value.(type) {
+	case *hujson.Object:
+		for _, m := range v.Members {
+			if matches(m) {
+				return m.Name.StartOffset - s.start
+			}
+			if at := s.find(m.Value, matches); at > 0 {
+				return at
+			}
+		}
+	case *hujson.Array:
+		for _, e := range v.Elements {
+			if at := s.find(e, matches); at > 0 {
+				return at
+			}
+		}
+	}
+	return 0
 }
 
 // Duration is a time span that settings write as a string, such as "250ms".
 type Duration time.Duration
 
+// durationError is a text that is not a duration. Text is the JSON literal.
+type durationError struct{ text string }
+
+func (e *durationError) Error() string {
+	return fmt.Sprintf("duration %s: expected a string such as \"250ms\"", e.text)
+}
+
 // UnmarshalJSON accepts a string in the syntax of time.ParseDuration.
 func (d *Duration) UnmarshalJSON(text []byte) error {
 	s, err := strconv.Unquote(string(text))
 	if err != nil {
-		return errors.Wrapf(ErrInvalid, "duration %s: expected a string such as \"250ms\"", text)
+		return &durationError{string(text)}
 	}
 	v, err := time.ParseDuration(s)
 	if err != nil {
-		return errors.Mark(err, ErrInvalid)
+		return &durationError{string(text)}
 	}
 	*d = Duration(v)
 	return nil
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,71 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+type example struct {
+	Size  int      `json:"size"`
+	Wait  Duration `json:"wait"`
+	Inner struct {
+		Name string `json:"name"`
+	} `json:"inner"`
+}
+
+// An operator who edits a file of many modules must be told which line is wrong.
+func TestErrorsNameFileAndLine(t *testing.T) {
+	cases := []struct{ name, text, want string }{
+		{"syntax", "{\n  \"a\": {\n  \"size\": }\n}", "line 3"},
+		{"no object", "\n[]", "node.json, line 2: expected an object"},
+		{"module is no object", "{\n\n\"a\": 3}", "node.json, line 3: settings of a"},
+		{"unknown module", "{\"a\": {},\n \"b\": {}}", "node.json, line 2: settings for unknown modules [\"b\"]"},
+		{"module twice", "{\"a\": {},\n \"a\": {}}", "node.json, line 2: module \"a\" appears twice"},
+		{"unknown field", "{// comment\n \"a\": {\n /* more\n lines */ \"sizes\": 1}}", "node.json, line 4: settings of a: json: unknown field \"sizes\""},
+		{"unknown inner field", "{\"a\": {\n\"inner\": {\n\"nam\": 1}}}", "node.json, line 3: settings of a"},
+		{"wrong type", "{\"a\": {\n\"wait\": \"1s\",\n\"size\": \"x\"}}", "node.json, line 3: settings of a"},
+		{"duration without a unit", "{\"a\": {\n\"size\": 7,\n\"wait\": \"7\",\n}}", "node.json, line 3: settings of a: duration \"7\""},
+		{"duration as a number", "{\"a\": {\n\"size\": 7,\n\"wait\": 8,\n}}", "node.json, line 3: settings of a: duration 8"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "node.json")
+			assert.NilError(t, os.WriteFile(path, []byte(c.text), 0o600))
+			f, err := Read(path)
+			if err == nil {
+				err = f.OnlyKnown([]string{"a"})
+			}
+			if err == nil {
+				err = f.Decode("a", &example{})
+			}
+			assert.ErrorContains(t, err, c.want)
+			assert.ErrorContains(t, err, path)
+			assert.Assert(t, errors.Is(err, ErrInvalid))
+		})
+	}
+}
+
+func TestDecodeKeepsDefaults(t *testing.T) {
+	f, err := Parse([]byte("{\"a\": {\"wait\": \"2s\", /* c */ \"inner\": {\"name\": \"n\",},},}"))
+	assert.NilError(t, err)
+	v := example{Size: 4}
+	assert.NilError(t, f.Decode("a", &v))
+	assert.Equal(t, v.Size, 4)
+	assert.Equal(t, v.Wait.D(), 2*time.Second)
+	assert.Equal(t, v.Inner.Name, "n")
+}
+
+// A value that a module refuses is reported at the line of its settings.
+func TestAtNamesTheLineOfTheModule(t *testing.T) {
+	f, err := Parse([]byte("{\n\"a\": {}}"))
+	assert.NilError(t, err)
+	refused := errors.New("size must be positive")
+	assert.Error(t, f.At("a", refused), "file settings, line 2: settings of a: size must be positive")
+	assert.Error(t, f.At("b", refused), "settings of b: size must be positive")
+	assert.NilError(t, f.At("a", nil))
+}
