--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -307,26 +307,38 @@
 }
 
 func (g *Ingress) logReport(job *relay.Job, r relay.Report) {
-	entry := g.log.WithFields(logrus.Fields{
+	failed := r.Outcome != relay.OutcomeServed || r.Reason != ""
+	written, omitted := true, 0
+	if !failed {
+		if written, omitted = g.sampler.take(time.Now()); !written {
+			return
+		}
+	}
+	entry := g.log.WithFields(reportFields(job, r))
+	if failed {
+		entry.Warn("request ended")
+		return
+	}
+	entry.Data["omitted"] = omitted
+	entry.Info("request ended")
+}
+
+func reportFields(job *relay.Job, r relay.Report) logrus.Fields {
+	f := logrus.Fields{
 		"request": job.ID, "route": job.Route.Name, "team": teamName(job), "outcome": r.Outcome, "tries": r.Tries,
-		"endpoint": r.Endpoint, "configuration": job.Configuration, "first_ms": r.First.Milliseconds(), "took_ms": time.Since(job.Arrived).Milliseconds(),
-	})
+		"endpoint": r.Endpoint, "configuration": job.Configuration, "first_ms": r.First.Milliseconds(),
+		"took_ms": time.Since(job.Arrived).Milliseconds(),
+	}
 	if r.SharedTokens > 0 {
-		entry = entry.WithFields(logrus.Fields{"cached": r.CachedTokens, "shared": r.SharedTokens, "fetch_from": r.FetchFrom})
+		f["cached"], f["shared"], f["fetch_from"] = r.CachedTokens, r.SharedTokens, r.FetchFrom
 	}
 	if r.Reason != "" {
-		entry = entry.WithField("reason", r.Reason)
+		f["reason"] = r.Reason
 	}
 	if r.Denied != "" {
-		entry = entry.WithField("not_retried", r.Denied)
-	}
-	if r.Outcome != relay.OutcomeServed || r.Reason != "" {
-		entry.Warn("request ended")
-		return
-	}
-	if ok, omitted := g.sampler.take(time.Now()); ok {
-		entry.WithField("omitted", omitted).Info("request ended")
+		f["not_retried"] = r.Denied
 	}
+	return f
 }
 
 func teamName(job *relay.Job) string {
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -91,7 +91,6 @@
 	relay *Relay
 	job   *Job
 	w     http.ResponseWriter
-	log   *logrus.Entry
 
 	fingerprint uint64
 	exclude     []string
@@ -110,7 +109,6 @@
 // complete or cannot be completed.
 func (r *Relay) Run(ctx context.Context, w http.ResponseWriter, job *Job) Report {
 	x := &execution{relay: r, job: job, w: w, lastID: job.LastEventID, fingerprint: job.fingerprint()}
-	x.log = r.log.WithFields(logrus.Fields{"request": job.ID, "route": job.Route.Name, "service": job.Service})
 	r.countFirst(job.Service)
 	ctx, cancel := context.WithDeadline(ctx, job.Expires)
 	defer cancel()
@@ -129,6 +127,11 @@
 	return "non_idempotent"
 }
 
+// log returns a log entry about the job.
+func (x *execution) log() *logrus.Entry {
+	return x.relay.log.WithFields(logrus.Fields{"request": x.job.ID, "route": x.job.Route.Name, "service": x.job.Service})
+}
+
 func (x *execution) run(ctx context.Context) {
 	if x.crashes() {
 		x.refuse("crashes_endpoints", 0)
@@ -194,7 +197,7 @@
 		x.ran++
 	}
 	x.report.Reason = resultNames[x.last.kind]
-	x.log.WithFields(logrus.Fields{
+	x.log().WithFields(logrus.Fields{
 		"endpoint": c.Endpoint.ID, "address": c.Endpoint.Address, "try": x.tries, "result": resultNames[x.last.kind],
 		"status": x.last.status, "weights": c.Weights, "cost_ms": c.Cost.Milliseconds(),
 		"age_ms": time.Since(x.job.Arrived).Milliseconds(), "left_ms": time.Until(x.job.Expires).Milliseconds(),
@@ -375,7 +378,7 @@
 	x.w.Header().Set("Content-Length", lengthOf(res.body))
 	x.w.WriteHeader(res.status)
 	if _, err := x.w.Write(res.body); err != nil {
-		x.log.WithError(err).Info("caller did not take the answer")
+		x.log().WithError(err).Info("caller did not take the answer")
 	}
 }
 
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -238,7 +238,7 @@
 
 func (t *try) flush() {
 	if err := http.NewResponseController(t.w).Flush(); err != nil {
-		t.log.WithError(err).Debug("caller did not take the events")
+		t.log().WithError(err).Debug("caller did not take the events")
 	}
 }
 
@@ -262,18 +262,21 @@
 		outcome = selection.Neutral
 	}
 	change, health := t.settle(outcome, res.kind == done)
-	log := t.log.WithFields(logrus.Fields{
-		"endpoint": t.choice.Endpoint.ID, "address": t.choice.Endpoint.Address, "result": resultNames[res.kind],
-		"failure_share": health.FailureShare, "suspensions": health.Suspensions,
-	})
 	switch change {
 	case selection.Suspended:
-		log.WithField("for_ms", health.SuspendedFor.Milliseconds()).Warn("endpoint suspended")
+		t.healthLog(res, health).WithField("for_ms", health.SuspendedFor.Milliseconds()).Warn("endpoint suspended")
 	case selection.Restored:
-		log.Info("endpoint restored")
+		t.healthLog(res, health).Info("endpoint restored")
 	}
 }
 
+func (t *try) healthLog(res result, h selection.Health) *logrus.Entry {
+	return t.log().WithFields(logrus.Fields{
+		"endpoint": t.choice.Endpoint.ID, "address": t.choice.Endpoint.Address, "result": resultNames[res.kind],
+		"failure_share": h.FailureShare, "suspensions": h.Suspensions,
+	})
+}
+
 func (t *try) settle(o selection.Outcome, completed bool) (selection.Change, selection.Health) {
 	r := t.relay
 	r.mu.Lock()
--- a/process/asynclog/asynclog.go
+++ b/process/asynclog/asynclog.go
@@ -3,6 +3,7 @@
 package asynclog
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,14 @@
 // some hundred lines a second.
 const queueLines = 4096
 
+// batchPause is how long a line may wait for others, and batchLines the
+// most lines that are written together. A process that is killed loses the lines of
+// the pause.
+const (
+	batchPause = 100 * time.Millisecond
+	batchLines = 256
+)
+
 // flushTimeout bounds the wait for the output at the end of the process.
 const flushTimeout = time.Second
 
@@ -55,28 +64,46 @@
 	}
 }
 
+// run writes the lines that wait together: each write costs a system call, and
+// without the pause each line would cost one.
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
+	var batch []byte
 	for {
 		select {
 		case line := <-w.queue:
-			w.write(out, line)
+			batch = append(batch[:0], line...)
 		case <-w.closing:
-			for {
-				select {
-				case line := <-w.queue:
-					w.write(out, line)
-				default:
-					return
-				}
+			for batch = w.waiting(nil, 0); len(batch) > 0; batch = w.waiting(nil, 0) {
+				w.write(out, batch)
 			}
+			return
+		}
+		select {
+		case <-time.After(batchPause):
+		case <-w.closing:
 		}
+		batch = w.waiting(batch, 1)
+		w.write(out, batch)
 	}
 }
 
-// write counts a line that the output does not take; there is nowhere to log it.
-func (w *Writer) write(out io.Writer, line []byte) {
-	if _, err := out.Write(line); err != nil {
-		w.dropped.Add(1)
+// waiting appends the lines that wait to a batch that holds some, up to batchLines.
+func (w *Writer) waiting(batch []byte, lines int) []byte {
+	for ; lines < batchLines; lines++ {
+		select {
+		case line := <-w.queue:
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// write counts lines that the output does not take; there is nowhere to log them.
+func (w *Writer) write(out io.Writer, lines []byte) {
+	if _, err := out.Write(lines); err != nil {
+		w.dropped.Add(uint64(bytes.Count(lines, []byte("\n"))))
 	}
 }
