Requests wait for the first configuration of a router that starts

Change: a request waits up to start_wait, 0.3 s, for the first configuration. The test holds the store's answer back until the request is there; it got 503 before.

--- a/cmd/arbutus-front/front_test.go
+++ b/cmd/arbutus-front/front_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -295,3 +297,24 @@
 	c.front()
 	c.eventually("the registration is repeated", func() bool { return c.store.Calls(http.MethodPut, "arbutus-routers") > 0 })
 }
+
+// After a loss of power callers come before the first configuration does; a request
+// that can wait for it must not be refused.
+func TestRequestWaitsForTheFirstConfiguration(t *testing.T) {
+	c := newCluster(t)
+	c.worker(app("a1"))
+	f := c.router()
+	// The store holds the configuration back until the request is there.
+	f.gate.Hold()
+	defer f.gate.Release()
+	assert.NilError(t, f.kernel.Start(context.Background()))
+	answered := make(chan reply)
+	go func() { answered <- f.call("r1", http.MethodGet, "/look/x", "") }()
+	c.eventually("the request is there", func() bool {
+		return strings.Contains(textOf(f.ready+"/metrics"), "arbutus_ingress_requests_in_flight 1")
+	})
+	f.gate.Release()
+	r := <-answered
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusOK)
+}
--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -19,6 +19,7 @@
 
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/modules/admin"
 	"github.com/arbutusline/arbutusline/modules/directory"
 	"github.com/arbutusline/arbutusline/modules/relay"
@@ -40,6 +41,8 @@
 	defaultDeadline = 30 * time.Second
 	// maxBodyBytes applies when the configuration states no limit.
 	maxBodyBytes = 16 << 20
+	// startStep is the time between two looks for the first configuration.
+	startStep = 10 * time.Millisecond
 	// unknownRetryAfter is when a caller should come back to a router that has
 	// no configuration yet.
 	unknownRetryAfter = 300 * time.Millisecond
@@ -47,7 +50,9 @@
 
 func init() {
 	arbutusline.Register(func() arbutusline.Module {
-		return &Ingress{Linger: settings.Duration(2500 * time.Millisecond)}
+		return &Ingress{
+			Linger: settings.Duration(2500 * time.Millisecond), StartWait: settings.Duration(300 * time.Millisecond),
+		}
 	})
 }
 
@@ -59,6 +64,10 @@
 	// began. Default 2.5s: the load balancer asks for readiness every second and
 	// stops sending after two refusals.
 	Linger settings.Duration `json:"linger"`
+	// StartWait is how long a request waits for the first configuration of a
+	// router that has just started. Default 300ms: after a loss of power the store
+	// or another router gave it within 120ms.
+	StartWait settings.Duration `json:"start_wait"`
 
 	log       *logrus.Entry
 	admin     *admin.Admin
@@ -102,8 +111,8 @@
 	if g.Listen == "" {
 		return errors.New("listen is required")
 	}
-	if g.Linger < 0 {
-		return errors.New("linger must not be negative")
+	if g.Linger < 0 || g.StartWait < 0 {
+		return errors.New("linger and start_wait must not be negative")
 	}
 	return nil
 }
@@ -179,7 +188,7 @@
 
 // job reads the request and checks it against the configuration in force.
 func (g *Ingress) job(w http.ResponseWriter, r *http.Request, arrived time.Time) (*relay.Job, *refusal) {
-	config := g.directory.View().Config
+	config := g.configuration(r.Context())
 	if config == nil {
 		return nil, &refusal{http.StatusServiceUnavailable, "no_configuration", unknownRetryAfter}
 	}
@@ -201,6 +210,22 @@
 	return job, complete(job, r.Header)
 }
 
+// configuration returns the configuration in force. A router that has just started
+// waits for its first one for a moment, because callers who are refused come back
+// later than it arrives.
+func (g *Ingress) configuration(ctx context.Context) *fleet.Configuration {
+	limit := time.Now().Add(g.StartWait.D())
+	for {
+		if c := g.directory.View().Config; c != nil {
+			return c
+		}
+		if ctx.Err() != nil || time.Now().After(limit) {
+			return nil
+		}
+		wait.For(ctx, startStep)
+	}
+}
+
 // complete decodes the headers that describe the job.
 func complete(job *relay.Job, h http.Header) *refusal {
 	if job.ID == "" {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -288,7 +288,9 @@
 
 	mu     sync.Mutex
 	closed bool
-	calls  map[*http.Request]context.CancelFunc
+	// held is closed when held calls may go on, nil when none is held.
+	held  chan struct{}
+	calls map[*http.Request]context.CancelFunc
 }
 
 // Close makes the store answer 503 to this caller and cuts its waiting calls.
@@ -301,6 +303,23 @@
 	}
 }
 
+// Hold lets calls wait until Release.
+func (g *Gate) Hold() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.held = make(chan struct{})
+}
+
+// Release lets held calls go on.
+func (g *Gate) Release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.held != nil {
+		close(g.held)
+		g.held = nil
+	}
+}
+
 // ServeHTTP passes a call on to the store.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithCancel(r.Context())
@@ -315,7 +334,15 @@
 		g.calls = map[*http.Request]context.CancelFunc{}
 	}
 	g.calls[r] = cancel
+	held := g.held
 	g.mu.Unlock()
+	if held != nil {
+		select {
+		case <-held:
+		case <-ctx.Done():
+			return
+		}
+	}
 	defer func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
