--- a/process/asynclog/asynclog.go
+++ b/process/asynclog/asynclog.go
@@ -14,13 +14,13 @@
 // some hundred lines a second.
 const queueLines = 4096
 
-// batchPause is how long a line may wait for others, and batchLines the
-// most lines that are written together. A process that is killed loses the lines of
-// the pause.
-const (
-	batchPause = 100 * time.Millisecond
-	batchLines = 256
-)
+// batchPause is how long a line may wait for others. A process that is killed loses
+// the lines of the pause.
+const batchPause = 100 * time.Millisecond
+
+// batchBytes is the most that is written at once: the size up to which a write to a
+// pipe is whole. Longer lines are written alone.
+const batchBytes = 4096
 
 // flushTimeout bounds the wait for the output at the end of the process.
 const flushTimeout = time.Second
@@ -68,37 +68,40 @@
 // without the pause each line would cost one.
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
-	var batch []byte
 	for {
+		var line []byte
 		select {
-		case line := <-w.queue:
-			batch = append(batch[:0], line...)
+		case line = <-w.queue:
 		case <-w.closing:
-			for batch = w.waiting(nil, 0); len(batch) > 0; batch = w.waiting(nil, 0) {
-				w.write(out, batch)
-			}
+			w.drain(out, nil)
 			return
 		}
 		select {
 		case <-time.After(batchPause):
 		case <-w.closing:
 		}
-		batch = w.waiting(batch, 1)
-		w.write(out, batch)
+		w.drain(out, line)
 	}
 }
 
-// waiting appends the lines that wait to a batch that holds some, up to batchLines.
-func (w *Writer) waiting(batch []byte, lines int) []byte {
-	for ; lines < batchLines; lines++ {
+// drain writes a first line, if there is one, and all lines that wait.
+func (w *Writer) drain(out io.Writer, first []byte) {
+	batch := append(make([]byte, 0, batchBytes), first...)
+	for {
 		select {
 		case line := <-w.queue:
+			if len(batch) > 0 && len(batch)+len(line) > batchBytes {
+				w.write(out, batch)
+				batch = batch[:0]
+			}
 			batch = append(batch, line...)
 		default:
-			return batch
+			if len(batch) > 0 {
+				w.write(out, batch)
+			}
+			return
 		}
 	}
-	return batch
 }
 
 // write counts lines that the output does not take; there is nowhere to log them.
