Keep cache events of parts that no request has named

Events were dropped for parts that no request had named, so a router that starts or is restarted knew nothing of the engines' caches; and the late news of a change of weights dropped also what was read under the new ones.

Change: events are kept for any part, and a part without holders leaves the table; after a change only holders of older weights are forgotten.

--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -297,8 +297,8 @@
 	if st == nil || st.swap.version == 0 {
 		return
 	}
+	s.parts.dropOlder(endpoint, st.swap.version)
 	st.swap = swap{}
-	s.parts.drop(endpoint)
 }
 
 // Load is the work that a router has at an endpoint.
--- a/decision/selection/parts.go
+++ b/decision/selection/parts.go
@@ -179,13 +179,10 @@
 	}
 }
 
-// event takes the engine's own word for what it holds of a part. Parts that no
-// request has named are ignored: most belong to a single request.
+// event takes the engine's own word for what it holds of a part. It names also parts
+// that this router has not seen yet, such as after its start.
 func (t *partTable) event(now time.Duration, key uint64, endpoint string, weights uint64, tokens int) {
-	list, known := t.holders[key]
-	if !known {
-		return
-	}
+	list := t.holders[key]
 	for i := range list {
 		if list[i].endpoint != endpoint || list[i].weights > weights {
 			continue
@@ -194,14 +191,41 @@
 			if !list[i].read {
 				return // The part is being read again.
 			}
-			t.holders[key] = append(list[:i], list[i+1:]...)
+			t.remove(key, i)
 			return
 		}
 		list[i].tokens, list[i].weights, list[i].read, list[i].used = tokens, weights, true, now
 		return
 	}
-	if tokens > 0 && len(list) < holdersPerPart {
-		t.holders[key] = append(list, holder{endpoint: endpoint, weights: weights, used: now, read: true, tokens: tokens})
+	if tokens == 0 || len(list) >= holdersPerPart {
+		return
+	}
+	if len(list) == 0 && len(t.holders) >= t.max {
+		t.evict(now)
+	}
+	t.holders[key] = append(list, holder{endpoint: endpoint, weights: weights, used: now, read: true, tokens: tokens})
+}
+
+// remove forgets one holder of a part.
+func (t *partTable) remove(key uint64, i int) {
+	list := t.holders[key]
+	list = append(list[:i], list[i+1:]...)
+	if len(list) == 0 {
+		delete(t.holders, key)
+		return
+	}
+	t.holders[key] = list
+}
+
+// dropOlder forgets what an endpoint held under weights before the version.
+func (t *partTable) dropOlder(endpoint string, version uint64) {
+	for key, list := range t.holders {
+		for i := range list {
+			if list[i].endpoint == endpoint && list[i].weights < version {
+				t.remove(key, i)
+				break // An endpoint is in a list once.
+			}
+		}
 	}
 }
 
@@ -213,6 +237,10 @@
 				kept = append(kept, h)
 			}
 		}
+		if len(kept) == 0 {
+			delete(t.holders, key)
+			continue
+		}
 		t.holders[key] = kept
 	}
 }
--- a/decision/selection/selection_test.go
+++ b/decision/selection/selection_test.go
@@ -236,3 +236,47 @@
 		})
 	}
 }
+
+// A router that has just started reads the engines' events before callers name the
+// parts; what it has heard must not be read again elsewhere.
+func TestEventsOfUnnamedPartsAreKept(t *testing.T) {
+	s, v := New(testConfig(), "a"), view(6, 1)
+	s.CacheEvent(0, "e5", PartKey("", model, 1), 1, 2500)
+	s.CacheEvent(0, "e5", PartKey("", model, 2), 1, 3800)
+	c := choose(t, s, time.Second, v, request(1, 2))
+	assert.Equal(t, c.Endpoint.ID, "e5")
+	assert.Equal(t, c.CachedTokens, 6300)
+}
+
+// Most events name parts of a single request; the table must not grow with them.
+func TestEvictedPartsLeaveTheTable(t *testing.T) {
+	cfg := testConfig()
+	s := New(cfg, "a")
+	for id := range uint64(3 * cfg.MaxParts) {
+		s.CacheEvent(0, "e1", PartKey("", model, id), 1, 100)
+		assert.Assert(t, len(s.parts.holders) <= cfg.MaxParts)
+	}
+	for id := range uint64(3 * cfg.MaxParts) {
+		s.CacheEvent(0, "e1", PartKey("", model, id), 1, 0)
+	}
+	assert.Equal(t, len(s.parts.holders), 0)
+}
+
+// The news that an engine has its new weights can arrive after the first request under
+// them; what that one read is still there.
+func TestNewWeightsKeepWhatWasReadUnderThem(t *testing.T) {
+	s, v := New(testConfig(), "a"), view(2, 1)
+	run(t, s, 0, v, request(1, 2))
+	for _, e := range v.ByService["llm"] {
+		assert.Assert(t, s.Swapping(0, e.ID, model, 2))
+		e.Weights[model] = 2
+	}
+	later := run(t, s, time.Second, v, request(1, 2))
+	for _, e := range v.ByService["llm"] {
+		s.Swapped(e.ID)
+	}
+	c := choose(t, s, 2*time.Second, v, request(1, 2))
+	assert.Equal(t, c.Endpoint.ID, later.Endpoint.ID)
+	assert.Equal(t, c.CachedTokens, 6300)
+	assert.Assert(t, s.parts.find(PartKey("", model, 1), later.Endpoint.ID, 1) == nil, "a part of the old weights is left")
+}
