Fetch small and later parts; save to the KV store only what is read

Cause, from the trace of placements: of the shared parts read again though a holder was known, a third were parts of prompts below 512 tokens, and most of the rest were second parts at an endpoint that had the first: the source was counted from the start of the prompt, so an endpoint that holds only the second part was none. The KV store turned over in 4 s (0.25 million tokens a second came in, its room is 1.03 million), because also prompts whose shared parts the engine had were saved.

Change: sources are counted from the part that the endpoint lacks; fetches from 100 tokens on; no save where the endpoint has all shared parts.

--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -82,8 +82,9 @@
 	// FetchFrom is the address of another endpoint that holds more of the
 	// prompt's shared parts, empty when there is none.
 	FetchFrom string
-	// SaveTo is the address of the KV store when it lacks some of the prompt's
-	// shared parts, empty otherwise.
+	// SaveTo is the address of the KV store when the endpoint has to get some of
+	// the prompt's shared parts and the store lacks some, empty otherwise. A saved
+	// prompt takes the room of others with its last part, too.
 	SaveTo string
 }
 
@@ -95,6 +96,7 @@
 	parts partTable
 	// covers is the working space of one choice.
 	covers map[string]coverage
+	reach  []reach
 	// store is the address of the KV store, empty when there is none.
 	store string
 }
@@ -128,7 +130,7 @@
 		model = r.Prompt.Model
 		chain = partKeys(r.Namespace, r.Prompt)
 		s.cover(now, chain, r.Prompt)
-		src = s.source(now, v, r)
+		src = s.source(now, v, r, len(chain))
 		src.first, src.second = homes(chain, v.ByService[r.Service])
 		if !r.AllowExpired {
 			newest = newestWeights(v, r)
@@ -150,7 +152,7 @@
 			best, found = c, true
 		}
 	}
-	if found && r.Prompt != nil && s.store != "" {
+	if found && r.Prompt != nil && s.store != "" && best.CachedTokens < r.Prompt.SharedTokens() {
 		if held := s.covers[StoreID]; held.weights != best.Weights || held.tokens < r.Prompt.SharedTokens() {
 			best.SaveTo = s.store
 		}
@@ -201,8 +203,11 @@
 	}
 	model := r.Prompt.Model
 	c.Weights = e.Weights[model]
-	if held := s.covers[e.ID]; held.weights == c.Weights {
+	held := s.covers[e.ID]
+	if held.weights == c.Weights {
 		c.CachedTokens = held.tokens
+	} else {
+		held = coverage{}
 	}
 	own := r.Prompt.InputTokens - r.Prompt.SharedTokens()
 	missing := r.Prompt.SharedTokens() - c.CachedTokens
@@ -211,10 +216,11 @@
 	if at, old := v.Superseded(model, c.Weights); old {
 		cost += s.oldWeights(wall.Sub(at), wait, r.Moved)
 	}
-	if fetched := src.tokens - c.CachedTokens; src.address != "" && src.weights == c.Weights && fetched >= minFetchTokens {
+	if from, ok := src.fetch(c.Weights, held.parts); ok && from.tokens-c.CachedTokens >= minFetchTokens {
+		fetched := from.tokens - c.CachedTokens
 		missing -= fetched
 		cost += time.Duration(float64(fetched) / s.cfg.FetchTokensPerMs * float64(time.Millisecond))
-		c.FetchFrom = src.address
+		c.FetchFrom = from.address
 	}
 	cost += s.reading(float64(own) + float64(missing)*s.cfg.RereadFactor)
 	if c.CachedTokens < r.Prompt.SharedTokens() {
@@ -250,90 +256,6 @@
 	return time.Duration(tokens / s.cfg.PrefillTokensPerMs * float64(time.Millisecond))
 }
 
-// coverage is what an endpoint is believed to hold of a prompt's shared parts.
-type coverage struct {
-	weights uint64
-	// tokens counts the leading parts that it holds or is reading, read those
-	// that it has read.
-	tokens, read int
-}
-
-// cover fills s.covers with the endpoints that hold leading shared parts of the
-// prompt. A part is of use only where those before it are whole.
-func (s *Selector) cover(now time.Duration, chain []uint64, p *fleet.Prompt) {
-	clear(s.covers)
-	since := now - s.cfg.PartLife
-	before := 0
-	for i, key := range chain {
-		size := p.Parts[i].Tokens
-		for _, h := range s.parts.holders[key] {
-			if h.used < since {
-				continue
-			}
-			c := s.covers[h.endpoint]
-			if h.weights > c.weights {
-				c = coverage{weights: h.weights}
-			}
-			if h.weights == c.weights && c.tokens == before {
-				c.tokens += min(size, h.tokens)
-				if h.read && c.read == before {
-					c.read += min(size, h.tokens)
-				}
-			}
-			s.covers[h.endpoint] = c
-		}
-		before += size
-	}
-}
-
-// source is an endpoint from which others can fetch parts, with the endpoints
-// that should hold them.
-type source struct {
-	address       string
-	weights       uint64
-	tokens        int
-	first, second string
-}
-
-// homeCost is the cost of adding a holder of a prompt's parts.
-func (s *source) homeCost(endpoint string) time.Duration {
-	switch endpoint {
-	case s.first:
-		return 0
-	case s.second:
-		return homeSecond
-	}
-	return homeOther
-}
-
-// source returns the endpoint that has read the most of the prompt's shared
-// parts under the newest weights that any such endpoint serves.
-func (s *Selector) source(now time.Duration, v *fleet.View, r *Request) source {
-	var best source
-	var bestID string
-	if c := s.covers[StoreID]; s.store != "" && c.read > 0 {
-		best = source{address: s.store, weights: c.weights, tokens: c.read}
-	}
-	for id, c := range s.covers {
-		e := v.ByID[id]
-		if e == nil || c.read == 0 || e.Weights[r.Prompt.Model] != c.weights {
-			continue
-		}
-		if st := s.endpoint(id); st.swapping(now, e) || st.suspensions > 0 {
-			continue
-		}
-		better := c.weights > best.weights || c.weights == best.weights && c.read > best.tokens
-		if same := c.weights == best.weights && c.read == best.tokens; better || same && id < bestID {
-			best, bestID = source{address: e.Address, weights: c.weights, tokens: c.read}, id
-		}
-	}
-	return best
-}
-
-// minFetchTokens is the least gain for which parts are fetched: below it the
-// set-up of a transfer takes longer than reading the tokens.
-const minFetchTokens = 512
-
 func contains(list []string, id string) bool {
 	for _, x := range list {
 		if x == id {
--- a/decision/selection/selection_test.go
+++ b/decision/selection/selection_test.go
@@ -89,6 +89,47 @@
 	assert.Equal(t, other.FetchFrom, home.Endpoint.Address)
 }
 
+// An endpoint that has the first part fetches the second one from an endpoint that
+// lacks the first.
+func TestLaterPartsAreFetched(t *testing.T) {
+	v, s := view(2, 1), New(testConfig(), "a")
+	s.CacheEvent(0, "e0", PartKey("", model, 1), 1, 2500)
+	s.CacheEvent(0, "e1", PartKey("", model, 2), 1, 3800)
+	s.RemoteLoads([]Load{{Endpoint: "e1", Running: 10, Unread: 100000}})
+	c := choose(t, s, 0, v, request(1, 2))
+	assert.Equal(t, c.Endpoint.ID, "e0")
+	assert.Equal(t, c.CachedTokens, 2500)
+	assert.Equal(t, c.FetchFrom, v.ByID["e1"].Address)
+	// What is held in part only does not count as held.
+	s.CacheEvent(0, "e1", PartKey("", model, 2), 1, 1000)
+	c = choose(t, s, 0, v, request(1, 2))
+	assert.Equal(t, c.FetchFrom, "")
+}
+
+// Parts of the most frequent short prompts are fetched, too.
+func TestSmallPartsAreFetched(t *testing.T) {
+	v, s := view(2, 1), New(testConfig(), "a")
+	s.CacheEvent(0, "e1", PartKey("", model, 1), 1, 120)
+	s.RemoteLoads([]Load{{Endpoint: "e1", Running: 10, Unread: 100000}})
+	c := choose(t, s, 0, v, &Request{Service: "llm", Prompt: &fleet.Prompt{
+		Model: model, InputTokens: 800, MaxOutputTokens: 20, Parts: []fleet.Part{{ID: 1, Tokens: 120}, {ID: 999, Tokens: 680}},
+	}})
+	assert.Equal(t, c.Endpoint.ID, "e0")
+	assert.Equal(t, c.FetchFrom, v.ByID["e1"].Address)
+}
+
+// The KV store gets what an engine reads. A copy of what engines hold anyway would
+// push out parts that nobody holds.
+func TestOnlyWhatIsReadIsSaved(t *testing.T) {
+	v, s := view(2, 1), New(testConfig(), "a")
+	s.SetStore("10.0.0.9:80")
+	first := run(t, s, 0, v, request(1, 2))
+	assert.Equal(t, first.SaveTo, "10.0.0.9:80")
+	again := choose(t, s, 0, v, request(1, 2))
+	assert.Equal(t, again.CachedTokens, 6300)
+	assert.Equal(t, again.SaveTo, "")
+}
+
 // A part that the engine evicted must not count as cached, and one that another
 // engine holds is found by its event.
 func TestCacheEventsPrevailOverBelief(t *testing.T) {
