Fetch parts under the weights that an endpoint has

Cause: sources were taken under the newest weights under which any endpoint had read a part, so that during a change endpoints with the old weights read again what others with the same weights held.

--- a/decision/selection/fetch.go
+++ b/decision/selection/fetch.go
@@ -1,6 +1,7 @@
 package selection
 
 import (
+	"slices"
 	"time"
 
 	"github.com/arbutusline/arbutusline/fleet"
@@ -19,10 +20,12 @@
 // maxFetchParts is the number of leading parts that are considered for fetching.
 const maxFetchParts = 64
 
-// cover fills s.covers with the endpoints that hold shared parts of the prompt. An
-// endpoint can use a part only where it holds those before it.
+// cover fills s.covers with the endpoints that hold shared parts of the prompt, and
+// s.stored with what the KV store holds by weights. An endpoint can use a part only
+// where it holds those before it.
 func (s *Selector) cover(now time.Duration, chain []uint64, p *fleet.Prompt) {
 	clear(s.covers)
+	clear(s.stored)
 	since := now - s.cfg.PartLife
 	before := 0
 	for i, key := range chain {
@@ -31,6 +34,12 @@
 			if h.used < since {
 				continue
 			}
+			if h.endpoint == StoreID {
+				c := s.stored[h.weights]
+				c.take(i, before, size, h)
+				s.stored[h.weights] = c
+				continue
+			}
 			c := s.covers[h.endpoint]
 			if h.weights > c.weights {
 				c = coverage{weights: h.weights}
@@ -60,11 +69,17 @@
 // source is where a request's parts can be fetched from, with the endpoints that
 // should hold them.
 type source struct {
+	// offers has an entry for each weights version under which parts were read.
+	offers        []offer
+	first, second string
+}
+
+// offer is where parts can be fetched that were read under the weights.
+type offer struct {
 	weights uint64
 	// reach holds, for an endpoint that has the first i parts, the best place to
 	// fetch those that follow.
-	reach         []reach
-	first, second string
+	reach []reach
 }
 
 // reach is an address from which parts can be fetched, up to that many tokens of the
@@ -85,41 +100,29 @@
 	return homeOther
 }
 
-// source returns where the prompt's shared parts can be fetched under the newest
-// weights under which they were read.
+// source returns where the prompt's shared parts can be fetched.
 func (s *Selector) source(now time.Duration, v *fleet.View, r *Request, parts int) source {
-	out := source{reach: s.reach[:0]}
-	for range min(parts, maxFetchParts) {
-		out.reach = append(out.reach, reach{})
+	out := source{offers: s.offers[:0]}
+	parts = min(parts, maxFetchParts)
+	if s.store != "" {
+		// Of places that hold as much the store comes first.
+		for weights, c := range s.stored {
+			out.take(weights, parts, reach{address: s.store}, c.read, r.Prompt)
+		}
 	}
-	s.reach = out.reach
 	for id, c := range s.covers {
-		address := s.fetchable(now, v, r, id, c)
-		if address == "" || c.weights < out.weights {
-			continue
-		}
-		if c.weights > out.weights {
-			out.weights = c.weights
-			clear(out.reach)
+		if address := s.fetchable(now, v, r, id, c); address != "" {
+			out.take(c.weights, parts, reach{address: address, id: id}, c.read, r.Prompt)
 		}
-		if id == StoreID {
-			id = "" // The store comes before endpoints that hold as much.
-		}
-		out.offer(reach{address: address, id: id}, c.read, r.Prompt)
 	}
+	s.offers = out.offers
 	return out
 }
 
-// fetchable returns the address of an endpoint or store that gives out parts, or "".
+// fetchable returns the address of an endpoint that gives out parts, or "".
 func (s *Selector) fetchable(now time.Duration, v *fleet.View, r *Request, id string, c coverage) string {
-	if c.read == 0 {
-		return ""
-	}
-	if id == StoreID {
-		return s.store
-	}
 	e := v.ByID[id]
-	if e == nil || e.Weights[r.Prompt.Model] != c.weights {
+	if e == nil || c.read == 0 || e.Weights[r.Prompt.Model] != c.weights {
 		return ""
 	}
 	if st := s.endpoint(id); st.swapping(now, e) || st.suspensions > 0 {
@@ -128,15 +131,27 @@
 	return e.Address
 }
 
-// offer takes a place that holds the parts whose bits are set.
-func (s *source) offer(from reach, read uint64, p *fleet.Prompt) {
+// take adds a place that holds the parts whose bits are set.
+func (s *source) take(weights uint64, parts int, from reach, read uint64, p *fleet.Prompt) {
+	if read == 0 {
+		return
+	}
+	i := slices.IndexFunc(s.offers, func(o offer) bool { return o.weights == weights })
+	if i < 0 {
+		i = len(s.offers)
+		s.offers = append(s.offers, offer{weights: weights, reach: make([]reach, parts)})
+	}
+	s.offers[i].take(from, read, p)
+}
+
+func (o *offer) take(from reach, read uint64, p *fleet.Prompt) {
 	begin := 0
-	for i := range s.reach {
+	for i := range o.reach {
 		end := begin
-		for j := i; j < len(s.reach) && read&(1<<j) != 0; j++ {
+		for j := i; j < len(o.reach) && read&(1<<j) != 0; j++ {
 			end += p.Parts[j].Tokens
 		}
-		best := &s.reach[i]
+		best := &o.reach[i]
 		if end > begin && (end > best.tokens || end == best.tokens && from.id < best.id) {
 			*best = reach{address: from.address, id: from.id, tokens: end}
 		}
@@ -147,10 +162,13 @@
 // fetch returns where an endpoint that has the first parts under the weights fetches
 // the next ones.
 func (s *source) fetch(weights uint64, parts int) (reach, bool) {
-	if weights != s.weights || parts >= len(s.reach) || s.reach[parts].address == "" {
-		return reach{}, false
+	for i := range s.offers {
+		o := &s.offers[i]
+		if o.weights == weights && parts < len(o.reach) && o.reach[parts].address != "" {
+			return o.reach[parts], true
+		}
 	}
-	return s.reach[parts], true
+	return reach{}, false
 }
 
 // minFetchTokens is the least gain for which parts are fetched. A fetch that finds
--- a/decision/selection/parts.go
+++ b/decision/selection/parts.go
@@ -184,7 +184,7 @@
 func (t *partTable) event(now time.Duration, key uint64, endpoint string, weights uint64, tokens int) {
 	list := t.holders[key]
 	for i := range list {
-		if list[i].endpoint != endpoint || list[i].weights > weights {
+		if list[i].endpoint != endpoint || list[i].weights > weights || endpoint == StoreID && list[i].weights != weights {
 			continue
 		}
 		if tokens == 0 {
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -96,7 +96,8 @@
 	parts partTable
 	// covers is the working space of one choice.
 	covers map[string]coverage
-	reach  []reach
+	stored map[uint64]coverage
+	offers []offer
 	// store is the address of the KV store, empty when there is none.
 	store string
 }
@@ -110,7 +111,7 @@
 
 // New returns a Selector of a router in the availability zone.
 func New(cfg Config, zone string) *Selector {
-	return &Selector{cfg: cfg, zone: zone, state: map[string]*endpointState{}, parts: newPartTable(cfg.MaxParts), covers: map[string]coverage{}}
+	return &Selector{cfg: cfg, zone: zone, state: map[string]*endpointState{}, parts: newPartTable(cfg.MaxParts), covers: map[string]coverage{}, stored: map[uint64]coverage{}}
 }
 
 // SetOldWeightsLimit replaces the limit of the configuration.
@@ -153,7 +154,7 @@
 		}
 	}
 	if found && r.Prompt != nil && s.store != "" && best.CachedTokens < r.Prompt.SharedTokens() {
-		if held := s.covers[StoreID]; held.weights != best.Weights || held.tokens < r.Prompt.SharedTokens() {
+		if s.stored[best.Weights].tokens < r.Prompt.SharedTokens() {
 			best.SaveTo = s.store
 		}
 	}
--- a/decision/selection/selection_test.go
+++ b/decision/selection/selection_test.go
@@ -106,6 +106,25 @@
 	assert.Equal(t, c.FetchFrom, "")
 }
 
+// While weights change, an endpoint with the old ones fetches from others that have
+// them, although some have read the parts under the new ones.
+func TestPartsAreFetchedUnderTheSameWeights(t *testing.T) {
+	v, s := view(3, 1), New(testConfig(), "a")
+	v.ByID["e2"].Weights[model] = 2
+	s.SetStore("10.0.0.9:80")
+	s.CacheEvent(0, "e1", PartKey("", model, 1), 1, 2500)
+	s.CacheEvent(0, "e2", PartKey("", model, 1), 2, 2500)
+	s.CacheEvent(0, StoreID, PartKey("", model, 2), 1, 3800)
+	s.CacheEvent(0, StoreID, PartKey("", model, 2), 2, 3800)
+	s.RemoteLoads([]Load{{Endpoint: "e1", Running: 10, Unread: 100000}, {Endpoint: "e2", Running: 10, Unread: 100000}})
+	c := choose(t, s, 0, v, request(1, 2))
+	assert.Equal(t, c.Endpoint.ID, "e0")
+	assert.Equal(t, c.FetchFrom, v.ByID["e1"].Address)
+	s.CacheEvent(0, "e0", PartKey("", model, 1), 1, 2500)
+	c = choose(t, s, 0, v, request(1, 2))
+	assert.Equal(t, c.FetchFrom, "10.0.0.9:80")
+}
+
 // Parts of the most frequent short prompts are fetched, too.
 func TestSmallPartsAreFetched(t *testing.T) {
 	v, s := view(2, 1), New(testConfig(), "a")
