--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -27,6 +27,7 @@
 
 // endpointState is what a router observes of an endpoint.
 type endpointState struct {
+	id string
 	// running and unread are the requests and unread prompt tokens that this
 	// router has there; the remote ones are those of other routers.
 	running, unread, long                   int
@@ -42,12 +43,15 @@
 	// swap is the change of weights that the endpoint prepares for or makes.
 	swap      swap
 	busyUntil time.Duration
+	// cover is what the endpoint holds of the prompt of the choice coverChoice.
+	cover       coverage
+	coverChoice uint64
 }
 
 func (s *Selector) endpoint(id string) *endpointState {
 	st := s.state[id]
 	if st == nil {
-		st = &endpointState{}
+		st = &endpointState{id: id}
 		s.state[id] = st
 	}
 	return st
@@ -336,6 +340,8 @@
 
 // Keep forgets endpoints that are not in the view and have no running request.
 func (s *Selector) Keep(v *fleet.View) {
+	// The candidates of earlier views are not needed any more.
+	clear(s.pools)
 	for id, st := range s.state {
 		if v.ByID[id] == nil && st.running == 0 {
 			delete(s.state, id)
--- a/decision/selection/fetch.go
+++ b/decision/selection/fetch.go
@@ -7,7 +7,7 @@
 	"github.com/arbutusline/arbutusline/fleet"
 )
 
-// coverage is what an endpoint is believed to hold of a prompt's shared parts.
+// coverage is what an endpoint or store is believed to hold of a prompt's shared parts.
 type coverage struct {
 	weights uint64
 	// tokens counts the leading parts that it holds or is reading, and parts their
@@ -20,12 +20,11 @@
 // maxFetchParts is the number of leading parts that are considered for fetching.
 const maxFetchParts = 64
 
-// cover fills s.covers with the endpoints that hold shared parts of the prompt, and
-// s.stored with what the KV store holds by weights. An endpoint can use a part only
-// where it holds those before it.
+// cover finds the endpoints that hold shared parts of the prompt, and what the KV
+// store holds. An endpoint can use a part only where it holds those before it.
 func (s *Selector) cover(now time.Duration, chain []uint64, p *fleet.Prompt) {
-	clear(s.covers)
-	clear(s.stored)
+	s.space.choice++
+	s.space.covering, s.space.stored = s.space.covering[:0], s.space.stored[:0]
 	since := now - s.cfg.PartLife
 	before := 0
 	for i, key := range chain {
@@ -35,24 +34,52 @@
 				continue
 			}
 			if h.endpoint == StoreID {
-				c := s.stored[h.weights]
-				c.take(i, before, size, h)
-				s.stored[h.weights] = c
+				s.inStore(h.weights).take(i, before, size, h)
 				continue
 			}
-			c := s.covers[h.endpoint]
+			c := s.covering(h)
 			if h.weights > c.weights {
-				c = coverage{weights: h.weights}
+				*c = coverage{weights: h.weights}
 			}
 			if h.weights == c.weights {
 				c.take(i, before, size, h)
 			}
-			s.covers[h.endpoint] = c
 		}
 		before += size
 	}
 }
 
+// covering returns the coverage of a holder in this choice.
+func (s *Selector) covering(h holder) *coverage {
+	st := s.endpoint(h.endpoint)
+	if st.coverChoice != s.space.choice {
+		st.coverChoice, st.cover = s.space.choice, coverage{}
+		s.space.covering = append(s.space.covering, st)
+	}
+	return &st.cover
+}
+
+// inStore returns what the KV store holds under the weights, to be completed.
+func (s *Selector) inStore(weights uint64) *coverage {
+	for i := range s.space.stored {
+		if c := &s.space.stored[i]; c.weights == weights {
+			return c
+		}
+	}
+	s.space.stored = append(s.space.stored, coverage{weights: weights})
+	return &s.space.stored[len(s.space.stored)-1]
+}
+
+// stored returns what the KV store holds under the weights.
+func (s *Selector) stored(weights uint64) coverage {
+	for _, c := range s.space.stored {
+		if c.weights == weights {
+			return c
+		}
+	}
+	return coverage{}
+}
+
 // take adds part i, which begins behind the tokens before it.
 func (c *coverage) take(i, before, size int, h holder) {
 	if c.tokens == before && c.parts == i {
@@ -70,8 +97,9 @@
 // should hold them.
 type source struct {
 	// offers has an entry for each weights version under which parts were read.
-	offers        []offer
-	first, second string
+	offers []offer
+	// first and second are positions in the pool, or -1.
+	first, second int
 }
 
 // offer is where parts can be fetched that were read under the weights.
@@ -89,9 +117,9 @@
 	tokens      int
 }
 
-// homeCost is the cost of adding a holder of a prompt's parts.
-func (s *source) homeCost(endpoint string) time.Duration {
-	switch endpoint {
+// homeCost is the cost of adding a holder of a prompt's parts, by its position.
+func (s *source) homeCost(position int) time.Duration {
+	switch position {
 	case s.first:
 		return 0
 	case s.second:
@@ -102,30 +130,30 @@
 
 // source returns where the prompt's shared parts can be fetched.
 func (s *Selector) source(now time.Duration, v *fleet.View, r *Request, parts int) source {
-	out := source{offers: s.offers[:0]}
+	out := source{offers: s.space.offers[:0]}
 	parts = min(parts, maxFetchParts)
 	if s.store != "" {
 		// Of places that hold as much the store comes first.
-		for weights, c := range s.stored {
-			out.take(weights, parts, reach{address: s.store}, c.read, r.Prompt)
+		for _, c := range s.space.stored {
+			out.take(c.weights, parts, reach{address: s.store}, c.read, r.Prompt)
 		}
 	}
-	for id, c := range s.covers {
-		if address := s.fetchable(now, v, r, id, c); address != "" {
-			out.take(c.weights, parts, reach{address: address, id: id}, c.read, r.Prompt)
+	for _, st := range s.space.covering {
+		if address := s.fetchable(now, v, r, st); address != "" {
+			out.take(st.cover.weights, parts, reach{address: address, id: st.id}, st.cover.read, r.Prompt)
 		}
 	}
-	s.offers = out.offers
+	s.space.offers = out.offers
 	return out
 }
 
 // fetchable returns the address of an endpoint that gives out parts, or "".
-func (s *Selector) fetchable(now time.Duration, v *fleet.View, r *Request, id string, c coverage) string {
-	e := v.ByID[id]
-	if e == nil || c.read == 0 || e.Weights[r.Prompt.Model] != c.weights {
+func (s *Selector) fetchable(now time.Duration, v *fleet.View, r *Request, st *endpointState) string {
+	if st.cover.read == 0 || st.suspensions > 0 {
 		return ""
 	}
-	if st := s.endpoint(id); st.swapping(now, e) || st.suspensions > 0 {
+	e := v.ByID[st.id]
+	if e == nil || e.Weights[r.Prompt.Model] != st.cover.weights || st.swapping(now, e) {
 		return ""
 	}
 	return e.Address
@@ -133,15 +161,26 @@
 
 // take adds a place that holds the parts whose bits are set.
 func (s *source) take(weights uint64, parts int, from reach, read uint64, p *fleet.Prompt) {
-	if read == 0 {
-		return
+	if read != 0 {
+		s.offer(weights, parts).take(from, read, p)
+	}
+}
+
+// offer returns the offer under the weights. It uses the space of an earlier choice.
+func (s *source) offer(weights uint64, parts int) *offer {
+	for i := range s.offers {
+		if s.offers[i].weights == weights {
+			return &s.offers[i]
+		}
 	}
-	i := slices.IndexFunc(s.offers, func(o offer) bool { return o.weights == weights })
-	if i < 0 {
-		i = len(s.offers)
-		s.offers = append(s.offers, offer{weights: weights, reach: make([]reach, parts)})
+	var space []reach
+	if n := len(s.offers); n < cap(s.offers) {
+		space = s.offers[:n+1][n].reach
 	}
-	s.offers[i].take(from, read, p)
+	space = slices.Grow(space[:0], parts)[:parts]
+	clear(space)
+	s.offers = append(s.offers, offer{weights: weights, reach: space})
+	return &s.offers[len(s.offers)-1]
 }
 
 func (o *offer) take(from reach, read uint64, p *fleet.Prompt) {
--- a/decision/selection/parts.go
+++ b/decision/selection/parts.go
@@ -25,17 +25,20 @@
 
 // partKeys returns the keys of the shared parts.
 func partKeys(namespace string, p *fleet.Prompt) []uint64 {
-	n := max(0, len(p.Parts)-1)
-	out := make([]uint64, 0, n)
-	for _, part := range p.Parts[:n] {
-		out = append(out, PartKey(namespace, p.Model, part.ID))
+	return appendPartKeys(make([]uint64, 0, len(p.Parts)), namespace, p)
+}
+
+// appendPartKeys appends the keys of the shared parts to a list.
+func appendPartKeys(list []uint64, namespace string, p *fleet.Prompt) []uint64 {
+	for _, part := range p.Parts[:max(0, len(p.Parts)-1)] {
+		list = append(list, PartKey(namespace, p.Model, part.ID))
 	}
-	return out
+	return list
 }
 
 // PartKey identifies a part within a namespace and model.
 func PartKey(namespace, model string, id uint64) uint64 {
-	return mix(xxhash.Sum64String(namespace+"\x00"+model) ^ mix(id))
+	return mix(xxhash.Sum64String(namespace)*31 ^ xxhash.Sum64String(model) ^ mix(id))
 }
 
 func mix(x uint64) uint64 {
@@ -46,29 +49,6 @@
 	return x ^ x>>33
 }
 
-// homes returns the first two of the endpoints in the rendezvous order of the
-// last shared part, or empty names when there is none.
-func homes(chain []uint64, endpoints []*fleet.Endpoint) (first, second string) {
-	if len(chain) == 0 {
-		return "", ""
-	}
-	var firstHash, secondHash uint64
-	for _, e := range endpoints {
-		if e.State != fleet.Ready {
-			continue
-		}
-		h := mix(chain[len(chain)-1] ^ xxhash.Sum64String(e.ID))
-		switch {
-		case h > firstHash:
-			second, secondHash = first, firstHash
-			first, firstHash = e.ID, h
-		case h > secondHash:
-			second, secondHash = e.ID, h
-		}
-	}
-	return first, second
-}
-
 type holder struct {
 	endpoint string
 	weights  uint64
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -5,6 +5,7 @@
 package selection
 
 import (
+	"slices"
 	"time"
 
 	"github.com/arbutusline/arbutusline/fleet"
@@ -94,12 +95,25 @@
 	zone  string
 	state map[string]*endpointState
 	parts partTable
-	// covers is the working space of one choice.
-	covers map[string]coverage
-	stored map[uint64]coverage
-	offers []offer
+	pools map[poolKey]*pool
+	// readTime and rereadTime are the costs of a token of its own and of a shared one.
+	readTime, rereadTime time.Duration
 	// store is the address of the KV store, empty when there is none.
 	store string
+	// space is the working space of one choice.
+	space space
+}
+
+// space is kept between choices, so that they allocate nothing.
+type space struct {
+	// choice numbers the choices; a coverage of another choice does not count.
+	choice uint64
+	chain  []uint64
+	// covering holds the endpoints that hold some shared part of the prompt, and
+	// stored what the KV store holds by weights.
+	covering []*endpointState
+	stored   []coverage
+	offers   []offer
 }
 
 // StoreID stands for the KV store where endpoints are named.
@@ -111,7 +125,11 @@
 
 // New returns a Selector of a router in the availability zone.
 func New(cfg Config, zone string) *Selector {
-	return &Selector{cfg: cfg, zone: zone, state: map[string]*endpointState{}, parts: newPartTable(cfg.MaxParts), covers: map[string]coverage{}, stored: map[uint64]coverage{}}
+	readTime := float64(time.Millisecond) / cfg.PrefillTokensPerMs
+	return &Selector{
+		cfg: cfg, zone: zone, state: map[string]*endpointState{}, parts: newPartTable(cfg.MaxParts), pools: map[poolKey]*pool{},
+		readTime: time.Duration(readTime), rereadTime: time.Duration(readTime * cfg.RereadFactor),
+	}
 }
 
 // SetOldWeightsLimit replaces the limit of the configuration.
@@ -121,65 +139,115 @@
 // none may take it. Now is a time since an arbitrary origin, wall the time that
 // View.Named refers to.
 func (s *Selector) Select(now time.Duration, wall time.Time, v *fleet.View, r *Request) (Choice, bool) {
-	var best Choice
-	found := false
-	var chain []uint64
-	var src source
-	var newest uint64
-	var model string
+	c := choosing{Selector: s, now: now, wall: wall, request: r, long: r.Long(), pool: s.pool(v, r), best: -1}
+	c.source.first, c.source.second = -1, -1
 	if r.Prompt != nil {
-		model = r.Prompt.Model
-		chain = partKeys(r.Namespace, r.Prompt)
-		s.cover(now, chain, r.Prompt)
-		src = s.source(now, v, r, len(chain))
-		src.first, src.second = homes(chain, v.ByService[r.Service])
-		if !r.AllowExpired {
-			newest = newestWeights(v, r)
-		}
+		c.prepare(v)
 	}
-	for _, e := range v.ByService[r.Service] {
-		st := s.endpoint(e.ID)
-		if !s.usable(now, e, st, r) || e.Weights[model] < newest && s.expired(wall, v, r, e, st) {
-			continue
-		}
-		c := s.cost(now, wall, v, r, chain, &src, e, st)
-		if !st.admits(now, r.Repeatable) {
-			if !st.lastResort() {
-				continue
-			}
-			c.Cost += lastResortCost
-		}
-		if !found || c.Cost < best.Cost {
-			best, found = c, true
-		}
+	c.consider(c.source.first)
+	c.consider(c.source.second)
+	for i := range c.pool.list {
+		c.consider(i)
 	}
-	if found && r.Prompt != nil && s.store != "" && best.CachedTokens < r.Prompt.SharedTokens() {
-		if s.stored[best.Weights].tokens < r.Prompt.SharedTokens() {
-			best.SaveTo = s.store
-		}
+	if c.best < 0 {
+		return Choice{}, false
 	}
-	return best, found
+	out := c.choice()
+	if r.Prompt != nil && s.store != "" && out.CachedTokens < c.shared && s.stored(out.Weights).tokens < c.shared {
+		out.SaveTo = s.store
+	}
+	return out, true
 }
 
-// lastResortCost puts suspended endpoints behind all others.
-const lastResortCost = time.Minute
+// choosing is one choice.
+type choosing struct {
+	*Selector
+	now     time.Duration
+	wall    time.Time
+	request *Request
+	long    bool
+	pool    *pool
+	source  source
+	// shared and own count the tokens in shared parts and in the last one.
+	shared, own int
+	// bare is the least cost of the prompt at an endpoint that holds nothing of it
+	// and is no home of it.
+	bare time.Duration
+	// best is the position of the candidate with the least cost so far, or -1.
+	best  int
+	least time.Duration
+}
+
+// prepare finds who holds parts of the prompt.
+func (c *choosing) prepare(v *fleet.View) {
+	r := c.request
+	c.shared = r.Prompt.SharedTokens()
+	c.own = r.Prompt.InputTokens - c.shared
+	chain := appendPartKeys(c.space.chain[:0], r.Namespace, r.Prompt)
+	c.space.chain = chain
+	c.cover(c.now, chain, r.Prompt)
+	c.source = c.Selector.source(c.now, v, r, len(chain))
+	c.source.first, c.source.second = c.pool.homes(chain)
+	c.bare = c.reading(c.own)
+	if len(c.source.offers) == 0 && c.shared > 0 {
+		c.bare += c.rereading(c.shared) + homeOther
+	}
+}
 
-// newestWeights returns the newest version that an endpoint of the service has.
-func newestWeights(v *fleet.View, r *Request) uint64 {
-	var newest uint64
-	for _, e := range v.ByService[r.Service] {
-		if e.State == fleet.Ready {
-			newest = max(newest, e.Weights[r.Prompt.Model])
+// consider takes the candidate at position i if it may run the request at less cost.
+func (c *choosing) consider(i int) {
+	if i < 0 {
+		return
+	}
+	x := &c.pool.list[i]
+	cost := c.load(x)
+	if c.best >= 0 && cost+c.atLeast(i, x) >= c.least || !c.usable(x) {
+		return
+	}
+	cost += c.reuse(i, x).cost
+	if !x.st.admits(c.now, c.request.Repeatable) {
+		if !x.st.lastResort() {
+			return
 		}
+		cost += lastResortCost
+	}
+	if c.best < 0 || cost < c.least {
+		c.best, c.least = i, cost
 	}
-	return newest
 }
 
-// expired reports whether a request would start on weights that were superseded
+// atLeast returns a bound for what the prompt costs at the candidate at position i.
+func (c *choosing) atLeast(i int, x *candidate) time.Duration {
+	if x.st.coverChoice == c.space.choice || i == c.source.first || i == c.source.second {
+		return 0
+	}
+	return c.bare
+}
+
+// choice describes the choice of the best candidate.
+func (c *choosing) choice() Choice {
+	x := &c.pool.list[c.best]
+	out := Choice{Endpoint: x.e, Cost: c.least}
+	if c.request.Prompt == nil {
+		return out
+	}
+	u := c.reuse(c.best, x)
+	out.Weights, out.CachedTokens = x.weights, u.cached
+	if u.fetched > 0 {
+		from, _ := c.source.fetch(x.weights, u.parts)
+		out.FetchFrom = from.address
+	}
+	return out
+}
+
+// lastResortCost puts suspended endpoints behind all others.
+const lastResortCost = time.Minute
+
+// expired reports whether the request would start on weights that were superseded
 // too long ago.
-func (s *Selector) expired(wall time.Time, v *fleet.View, r *Request, e *fleet.Endpoint, st *endpointState) bool {
-	at, old := v.Superseded(r.Prompt.Model, e.Weights[r.Prompt.Model])
-	return old && wall.Sub(at)+s.reading(float64(st.unread+st.remoteUnread)) > s.cfg.OldWeightsLimit+expiredSlack
+func (c *choosing) expired(x *candidate) bool {
+	return x.weights < c.pool.newest && x.old && !c.request.AllowExpired &&
+		c.wall.Sub(x.superseded)+c.reading(x.st.unread+x.st.remoteUnread) > c.cfg.OldWeightsLimit+expiredSlack
 }
 
 // expiredSlack is how long after their limit weights may still be used where all
@@ -187,48 +255,61 @@
 const expiredSlack = 1500 * time.Millisecond
 
 // usable reports whether an endpoint takes requests at all.
-func (s *Selector) usable(now time.Duration, e *fleet.Endpoint, st *endpointState, r *Request) bool {
-	return e.State == fleet.Ready && !contains(r.Exclude, e.ID) && !st.swapping(now, e) && !st.full(e) &&
-		now >= st.busyUntil && (!r.Long() || !st.swapsSoon(now, e))
+func (c *choosing) usable(x *candidate) bool {
+	st := x.st
+	return !st.full(x.e) && c.now >= st.busyUntil && (st.swap.version == 0 || !st.swapping(c.now, x.e) && !(c.long && st.swapsSoon(c.now, x.e))) &&
+		!c.expired(x) && (len(c.request.Exclude) == 0 || !slices.Contains(c.request.Exclude, x.e.ID))
 }
 
-func (s *Selector) cost(now time.Duration, wall time.Time, v *fleet.View, r *Request, chain []uint64, src *source, e *fleet.Endpoint, st *endpointState) Choice {
-	c := Choice{Endpoint: e}
-	cost := time.Duration(st.failure * float64(s.cfg.FailureCost))
-	if e.Zone != s.zone {
-		cost += s.cfg.ZoneCost
+// load is the part of the cost that does not depend on the prompt.
+func (c *choosing) load(x *candidate) time.Duration {
+	st := x.st
+	cost := x.zoneCost
+	if st.failure > 0 {
+		cost += time.Duration(st.failure * float64(c.cfg.FailureCost))
 	}
-	if r.Prompt == nil {
-		c.Cost = cost + s.cfg.ServiceTime*time.Duration(st.running+st.remoteRunning)/time.Duration(e.Slots)
-		return c
+	running := time.Duration(st.running + st.remoteRunning)
+	if c.request.Prompt == nil {
+		return cost + c.cfg.ServiceTime*running/time.Duration(x.e.Slots)
 	}
-	model := r.Prompt.Model
-	c.Weights = e.Weights[model]
-	held := s.covers[e.ID]
-	if held.weights == c.Weights {
-		c.CachedTokens = held.tokens
-	} else {
-		held = coverage{}
+	return cost + c.reading(st.unread+st.remoteUnread) + c.cfg.RunCost*running
+}
+
+// reuse is how an endpoint gets the parts of the prompt.
+type reuse struct {
+	// cached counts the tokens that it holds, parts the whole parts among them, and
+	// fetched the tokens that it fetches.
+	cached, parts, fetched int
+	cost                   time.Duration
+}
+
+// reuse returns how the candidate at position i gets the prompt, and what of the cost
+// depends on it.
+func (c *choosing) reuse(i int, x *candidate) reuse {
+	if c.request.Prompt == nil {
+		return reuse{}
 	}
-	own := r.Prompt.InputTokens - r.Prompt.SharedTokens()
-	missing := r.Prompt.SharedTokens() - c.CachedTokens
-	wait := s.reading(float64(st.unread + st.remoteUnread))
-	cost += wait + s.cfg.RunCost*time.Duration(st.running+st.remoteRunning)
-	if at, old := v.Superseded(model, c.Weights); old {
-		cost += s.oldWeights(wall.Sub(at), wait, r.Moved)
+	var u reuse
+	if x.st.coverChoice == c.space.choice && x.st.cover.weights == x.weights {
+		u.cached, u.parts = x.st.cover.tokens, x.st.cover.parts
 	}
-	if from, ok := src.fetch(c.Weights, held.parts); ok && from.tokens-c.CachedTokens >= minFetchTokens {
-		fetched := from.tokens - c.CachedTokens
-		missing -= fetched
-		cost += time.Duration(float64(fetched) / s.cfg.FetchTokensPerMs * float64(time.Millisecond))
-		c.FetchFrom = from.address
+	missing := c.shared - u.cached
+	if x.old {
+		wait := c.reading(x.st.unread + x.st.remoteUnread)
+		u.cost += c.oldWeights(c.wall.Sub(x.superseded), wait, c.request.Moved)
 	}
-	cost += s.reading(float64(own) + float64(missing)*s.cfg.RereadFactor)
-	if c.CachedTokens < r.Prompt.SharedTokens() {
-		cost += src.homeCost(e.ID)
+	if missing >= minFetchTokens && len(c.source.offers) > 0 {
+		if from, ok := c.source.fetch(x.weights, u.parts); ok && from.tokens-u.cached >= minFetchTokens {
+			u.fetched = from.tokens - u.cached
+			missing -= u.fetched
+			u.cost += time.Duration(float64(u.fetched) / c.cfg.FetchTokensPerMs * float64(time.Millisecond))
+		}
 	}
-	c.Cost = cost
-	return c
+	u.cost += c.reading(c.own) + c.rereading(missing)
+	if u.cached < c.shared {
+		u.cost += c.source.homeCost(i)
+	}
+	return u
 }
 
 // oldWeights is the cost of running on weights that were superseded some time
@@ -253,15 +334,10 @@
 	expiredFactor = 25
 )
 
-func (s *Selector) reading(tokens float64) time.Duration {
-	return time.Duration(tokens / s.cfg.PrefillTokensPerMs * float64(time.Millisecond))
-}
+// reading is the time in which an engine reads tokens.
+func (s *Selector) reading(tokens int) time.Duration { return time.Duration(tokens) * s.readTime }
 
-func contains(list []string, id string) bool {
-	for _, x := range list {
-		if x == id {
-			return true
-		}
-	}
-	return false
+// rereading is the cost of reading shared tokens that an endpoint lacks.
+func (s *Selector) rereading(tokens int) time.Duration {
+	return time.Duration(tokens) * s.rereadTime
 }
--- a/decision/selection/selection_test.go
+++ b/decision/selection/selection_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -39,6 +41,13 @@
 	return v
 }
 
+// changed returns a new view with the content of v: a view is not changed once a
+// choice has used it.
+func changed(v *fleet.View) *fleet.View {
+	c := *v
+	return &c
+}
+
 func request(first, second uint64) *Request {
 	return &Request{Service: "llm", Prompt: &fleet.Prompt{
 		Model: model, InputTokens: 9000, MaxOutputTokens: 20,
@@ -204,6 +213,7 @@
 	s.Ended(0, r, c, Refused)
 	assert.Assert(t, !taken(0, r) && taken(refusedPause, r))
 	v.ByID["e0"].State = fleet.Draining
+	v = changed(v)
 	assert.Assert(t, !taken(time.Hour, r))
 }
 
@@ -273,6 +283,7 @@
 	r := request(1, 2)
 	choose(t, s, 0, v, r)
 	v.ByID["e1"].Weights = map[string]uint64{model: 2}
+	v = changed(v)
 	s.Swapping(0, "e1", model, 3)
 	_, ok := s.Select(0, wall, v, r)
 	assert.Assert(t, !ok)
@@ -331,6 +342,7 @@
 		assert.Assert(t, s.Swapping(0, e.ID, model, 2))
 		e.Weights[model] = 2
 	}
+	v = changed(v)
 	later := run(t, s, time.Second, v, request(1, 2))
 	for _, e := range v.ByService["llm"] {
 		s.Swapped(e.ID)
@@ -340,3 +352,46 @@
 	assert.Equal(t, c.CachedTokens, 6300)
 	assert.Assert(t, s.parts.find(PartKey("", model, 1), later.Endpoint.ID, 1) == nil, "a part of the old weights is left")
 }
+
+// The choice passes over candidates whose load alone costs more than the best one; it
+// must find the same least cost as when each candidate is the only one left.
+func TestChoiceIsTheLeastCost(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		v, s := view(12, 1), New(testConfig(), "a")
+		v.Named[model] = []fleet.NamedWeights{{Version: 2, At: wall.Add(-2 * time.Second)}}
+		var loads []Load
+		for i, e := range v.ByService["llm"] {
+			e.Zone = []string{"a", "b"}[random.IntN(2)]
+			e.Weights[model] = uint64(1 + random.IntN(2))
+			loads = append(loads, Load{Endpoint: e.ID, Running: random.IntN(12), Unread: random.IntN(20000)})
+			for part := range 3 {
+				if seed%2 == 0 && random.IntN(3) == 0 {
+					s.CacheEvent(0, e.ID, PartKey("", model, uint64(part)), e.Weights[model], 2000*(part+1))
+				}
+			}
+			if i%5 == int(seed%5) {
+				s.Ended(0, &Request{}, Choice{Endpoint: e}, Outcome(random.IntN(int(Dead)+1)))
+			}
+		}
+		s.RemoteLoads(loads)
+		r := &Request{Service: "llm", Prompt: &fleet.Prompt{
+			Model: model, InputTokens: 13000, Parts: []fleet.Part{{ID: 0, Tokens: 2000}, {ID: 1, Tokens: 4000}, {ID: 2, Tokens: 6000}, {ID: 99, Tokens: 1000}},
+		}}
+		got, found := s.Select(0, wall, v, r)
+		least := time.Duration(math.MaxInt64)
+		for _, only := range v.ByService["llm"] {
+			alone := *r
+			for _, e := range v.ByService["llm"] {
+				if e != only {
+					alone.Exclude = append(alone.Exclude, e.ID)
+				}
+			}
+			if c, ok := s.Select(0, wall, v, &alone); ok {
+				least = min(least, c.Cost)
+			}
+		}
+		assert.Equal(t, found, least < math.MaxInt64, "seed %d", seed)
+		assert.Assert(t, !found || got.Cost == least, "seed %d: %s, least %s", seed, got.Cost, least)
+	}
+}
