--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
-# Targets: demo, test, bench, soak, build, generate.
+# Targets: demo, test, bench, soak, schedules, build, generate.
 GO ?= go
 STATICCHECK_VERSION := v0.8.2
-SEEDS ?= 1000
+SEEDS ?= 50
+FIRST ?= 1
+SCHEDULES ?= 1000
 
-.PHONY: build test demo bench soak generate fmt
+.PHONY: build test demo bench soak schedules generate fmt
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -17,8 +19,13 @@
 bench: build
 	./bin/arbutus-bench all
 
+# Real processes under faults; SEEDS seeds from FIRST on, three at a time.
 soak:
-	ARBUTUS_SOAK_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 60m ./bench/...
+	ARBUTUS_SOAK_FIRST=$(FIRST) ARBUTUS_SOAK_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 60m -parallel 3 ./soak
+
+# Many schedules of the harnesses in virtual time.
+schedules:
+	ARBUTUS_SCHEDULES=$(SCHEDULES) $(GO) test -count=1 -timeout 60m ./bench/...
 
 generate:
 	./scripts/generate.sh
--- a/bench/agreement/agreement_test.go
+++ b/bench/agreement/agreement_test.go
@@ -14,9 +14,9 @@
 )
 
 // seeds returns the number of seeds of a property, more when
-// ARBUTUS_SOAK_SEEDS is set.
+// ARBUTUS_SCHEDULES is set.
 func seeds(normal int) int {
-	if n, err := strconv.Atoi(os.Getenv("ARBUTUS_SOAK_SEEDS")); err == nil && n > normal {
+	if n, err := strconv.Atoi(os.Getenv("ARBUTUS_SCHEDULES")); err == nil && n > normal {
 		return n
 	}
 	return normal
--- a/bench/outcomes/outcomes_test.go
+++ b/bench/outcomes/outcomes_test.go
@@ -18,9 +18,9 @@
 // ciSchedules keeps the package under a minute with the race detector.
 const ciSchedules = 20
 
-// soakSeeds returns ARBUTUS_SOAK_SEEDS, or the default.
-func soakSeeds(t *testing.T, fallback int) int {
-	text := os.Getenv("ARBUTUS_SOAK_SEEDS")
+// schedules returns ARBUTUS_SCHEDULES, or the default.
+func schedules(t *testing.T, fallback int) int {
+	text := os.Getenv("ARBUTUS_SCHEDULES")
 	if text == "" {
 		return fallback
 	}
@@ -66,7 +66,7 @@
 // TestRandomSchedules guards all invariants against random failures, together
 // and twice. A failure is shrunk by rapid.
 func TestRandomSchedules(t *testing.T) {
-	checks := soakSeeds(t, ciSchedules)
+	checks := schedules(t, ciSchedules)
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": strconv.Itoa(checks), "rapid.nofailfile": "true"} {
 		assert.NilError(t, flag.Set(name, value))
 	}
--- a/bench/routing/routing_test.go
+++ b/bench/routing/routing_test.go
@@ -24,7 +24,7 @@
 
 // seeds returns how many seeds to play; the soak sets more.
 func seeds() int {
-	if n, err := strconv.Atoi(os.Getenv("ARBUTUS_SOAK_SEEDS")); err == nil && n > 0 {
+	if n, err := strconv.Atoi(os.Getenv("ARBUTUS_SCHEDULES")); err == nil && n > 0 {
 		return n
 	}
 	return 2
--- a/cmd/arbutus-front/cluster_test.go
+++ b/cmd/arbutus-front/cluster_test.go
@@ -49,29 +49,7 @@
 
 // configure writes a configuration; change may alter it first.
 func (c *cluster) configure(version int, change func(map[string]any)) {
-	route := func(name, prefix, kind, service string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": "desk.example", "path_prefix": prefix, "route_type": kind, "service": service,
-			"timeout_ms": 5000, "target_latency_ms": 400, "priority": 1, "max_attempts": attempts, "resumable": resumable,
-		}
-	}
-	config := map[string]any{
-		"version": version,
-		"routes": []map[string]any{
-			route("post", "/post/", "non_idempotent", "app", 2, false),
-			route("look", "/look/", "idempotent", "app", 2, false),
-			route("ask", "/ask/", "stream", "llm", 2, true),
-			route("audit", "/audit/", "stream", "llm", 2, false),
-		},
-		"services": []map[string]any{
-			{"name": "app", "max_connections": 100},
-			{"name": "llm", "max_connections": 100, "engine": map[string]any{
-				"slots": 8, "kv_capacity_tokens": 100000, "kv_token_bytes": 1000, "models": []map[string]any{{"name": "m"}},
-			}},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "open", "api_keys": []string{"key-1"}}, {"name": "walled", "api_keys": []string{"key-2"}, "isolated": true}},
-	}
+	config := platform.Desk(version)
 	if change != nil {
 		change(config)
 	}
@@ -214,7 +192,7 @@
 	if err != nil {
 		return reply{err: err}
 	}
-	r.Host = "desk.example"
+	r.Host = platform.DeskHost
 	r.Header.Set("Request-Id", id)
 	r.Header.Set("Deadline-Ms", "5000")
 	r.Header.Set("Authorization", "Token key-1")
--- a/process/process.go
+++ b/process/process.go
@@ -36,6 +36,8 @@
 // Main runs the named modules until SIGTERM or SIGINT and returns the exit
 // code. A second signal ends the process at once. SIGHUP reads the settings again.
 func Main(program, description string, modules ...string) int {
+	// Signals that come during the start must not end the process at once.
+	s := notify()
 	var f flags
 	kong.Parse(&f, kong.Name(program), kong.Description(description))
 	log := logrus.New()
@@ -58,7 +60,7 @@
 	if f.Check {
 		return ExitOK
 	}
-	if err := run(kernel, f.Settings, f.StopTimeout); err != nil {
+	if err := run(kernel, f.Settings, s, f.StopTimeout); err != nil {
 		entry.WithError(err).Error("ended with an error")
 		return ExitFailure
 	}
@@ -86,22 +88,18 @@
 	fmt.Println(string(text))
 }
 
-func run(kernel *arbutusline.Kernel, path string, stopTimeout time.Duration) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func run(kernel *arbutusline.Kernel, path string, s signals, stopTimeout time.Duration) error {
 	if err := kernel.Start(context.Background()); err != nil {
 		return err
 	}
 	kernel.Log.Info("started")
-	stop := reloadUntil(signals, hangups, kernel, path)
+	stop := reloadUntil(s, kernel, path)
 	kernel.Log.WithField("signal", stop.String()).Info("stopping")
 
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	go func() {
-		<-signals
+		<-s.ends
 		cancel()
 	}()
 	err := kernel.Stop(ctx)
@@ -109,14 +107,27 @@
 	return errors.Wrap(err, "graceful shutdown")
 }
 
+// signals are the signals that the process takes.
+type signals struct {
+	// ends holds the two that may ask for its end, hangups one of SIGHUP.
+	ends, hangups chan os.Signal
+}
+
+func notify() signals {
+	s := signals{ends: make(chan os.Signal, 2), hangups: make(chan os.Signal, 1)}
+	signal.Notify(s.ends, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.hangups, syscall.SIGHUP)
+	return s
+}
+
 // reloadUntil reads the settings again at each hangup, until a signal asks for the
 // end of the process.
-func reloadUntil(signals, hangups <-chan os.Signal, kernel *arbutusline.Kernel, path string) os.Signal {
+func reloadUntil(s signals, kernel *arbutusline.Kernel, path string) os.Signal {
 	for {
 		select {
-		case s := <-signals:
-			return s
-		case <-hangups:
+		case end := <-s.ends:
+			return end
+		case <-s.hangups:
 			reload(kernel, path)
 		}
 	}
--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,67 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// echo answers each byte with itself.
+func echo(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// A fault that the proxy does not inject leaves the soak green for the wrong reason.
+func TestProxyInjectsItsFaults(t *testing.T) {
+	p, err := NewProxy("127.0.0.1:0", echo(t))
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	ask := func(c net.Conn) error {
+		if _, err := c.Write([]byte("x")); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(c, make([]byte, 1))
+		return err
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", p.Address())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	first := dial()
+	assert.NilError(t, ask(first))
+	p.Set(Delay)
+	assert.NilError(t, ask(first))
+	for _, m := range []Mode{CutForth, CutBack, Silent} {
+		p.Set(m)
+		c := dial()
+		assert.NilError(t, c.SetDeadline(time.Now().Add(50*time.Millisecond)))
+		_, timeout := ask(c).(net.Error)
+		assert.Assert(t, timeout, "mode %d answers", m)
+		p.Set(Pass)
+		assert.NilError(t, c.SetDeadline(time.Now().Add(time.Minute)))
+		assert.Assert(t, ask(c) != nil, "mode %d: a connection that lost bytes goes on", m)
+	}
+	last := dial()
+	assert.NilError(t, ask(last))
+	p.Set(Reset)
+	assert.Assert(t, ask(last) != nil)
+	p.Set(Pass)
+	assert.NilError(t, ask(dial()))
+}
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -97,6 +97,13 @@
 	return append([]uint64(nil), w.fences...)
 }
 
+// Holders returns who sent the orders of Fences.
+func (w *Worker) Holders() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.holders...)
+}
+
 // Entry returns the worker's entry for the store.
 func (w *Worker) Entry(address, zone, state string) map[string]any {
 	w.mu.Lock()
