--- a/decision/selection/parts.go
+++ b/decision/selection/parts.go
@@ -12,8 +12,8 @@
 	// homeSecond and homeOther are the costs of starting an unknown part at the
 	// second or another endpoint of its rendezvous order. They let all routers
 	// start it at the same endpoint unless that one has much more to do.
-	homeSecond = 120 * time.Millisecond
-	homeOther  = 300 * time.Millisecond
+	homeSecond = 200 * time.Millisecond
+	homeOther  = 600 * time.Millisecond
 )
 
 // maxNews bounds the holders that wait to be told to other routers.
