--- /dev/null
+++ b/cmd/arbutus-front/metrics_test.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/modules/admin"
+	"github.com/arbutusline/arbutusline/standin/platform"
+)
+
+// Metrics that break the naming conventions of Prometheus, or refusals and denied
+// retries without a count, mislead the alerts.
+func TestMetricsFollowTheConventions(t *testing.T) {
+	c := newCluster(t)
+	a1 := c.worker(app("a1"))
+	c.worker(engine("e1"))
+	f := c.front()
+	f.call("r1", http.MethodGet, "/look/x", "", "Authorization", "Token nobody")
+	f.call("r2", http.MethodGet, "/look/x", "")
+	f.ask("r3", "/ask/x")
+	a1.Fail(1, platform.FaultReset)
+	f.call("r4", http.MethodPost, "/post/x", "entry")
+	a, err := arbutusline.Lookup[*admin.Admin](f.kernel, admin.Name)
+	assert.NilError(t, err)
+	problems, err := testutil.GatherAndLint(a.Registry())
+	assert.NilError(t, err)
+	for _, p := range problems {
+		t.Errorf("%s: %s", p.Metric, p.Text)
+	}
+	text := textOf(f.ready + "/metrics")
+	for _, want := range []string{
+		`arbutus_ingress_refusals_total{reason="unknown_key"} 1`,
+		`arbutus_retries_denied_total{reason="may_have_run"} 1`,
+		`arbutus_requests_total{kind="stream",outcome="served"} 1`,
+		`arbutus_first_answer_seconds_count{kind="idempotent"} 1`,
+	} {
+		assert.Check(t, strings.Contains(text, want), fmt.Sprintf("%s is not among the metrics", want))
+	}
+}
