--- a/cmd/arbutusctl/explain.go
+++ b/cmd/arbutusctl/explain.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/status"
 
 	"github.com/arbutusline/arbutusline/api/arbutuspb"
@@ -83,8 +84,8 @@
 	return nil, nil
 }
 
-func (c *explainCmd) call(ctx context.Context, p arbutuspb.PeerClient) (*arbutuspb.ExplainResponse, error) {
-	return p.Explain(ctx, &arbutuspb.ExplainRequest{RequestId: c.RequestID})
+func (c *explainCmd) call(ctx context.Context, conn grpc.ClientConnInterface) (*arbutuspb.ExplainResponse, error) {
+	return arbutuspb.NewPeerClient(conn).Explain(ctx, &arbutuspb.ExplainRequest{RequestId: c.RequestID})
 }
 
 // owner returns the address of the router whose incarnation the request id
--- a/cmd/arbutusctl/peers.go
+++ b/cmd/arbutusctl/peers.go
@@ -19,8 +19,11 @@
 	peerCalls = 32
 )
 
-// askPeer calls one process.
-func askPeer[T any](ctx context.Context, address string, call func(context.Context, arbutuspb.PeerClient) (T, error)) (T, error) {
+// ask makes one call to a process.
+type ask[T any] func(context.Context, grpc.ClientConnInterface) (T, error)
+
+// askOne calls one process.
+func askOne[T any](ctx context.Context, address string, call ask[T]) (T, error) {
 	var zero T
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -28,8 +31,8 @@
 	if err != nil {
 		return zero, errors.Wrapf(err, "address %s", address)
 	}
-	defer func() { _ = conn.Close() }()
-	return call(ctx, arbutuspb.NewPeerClient(conn))
+	defer func() { _ = conn.Close() }() // The answer is complete.
+	return call(ctx, conn)
 }
 
 // reply is what one process answered.
@@ -41,13 +44,13 @@
 
 // askAll calls all processes, at most peerCalls at once, and returns their
 // replies in the order of addresses.
-func askAll[T any](ctx context.Context, addresses []string, call func(context.Context, arbutuspb.PeerClient) (T, error)) []reply[T] {
+func askAll[T any](ctx context.Context, addresses []string, call ask[T]) []reply[T] {
 	replies := make([]reply[T], len(addresses))
 	var group errgroup.Group
 	group.SetLimit(peerCalls)
 	for i, address := range addresses {
 		group.Go(func() error {
-			value, err := askPeer(ctx, address, call)
+			value, err := askOne(ctx, address, call)
 			replies[i] = reply[T]{address, value, err}
 			return nil
 		})
@@ -56,8 +59,8 @@
 	return replies
 }
 
-func askStatus(members bool) func(context.Context, arbutuspb.PeerClient) (*arbutuspb.StatusResponse, error) {
-	return func(ctx context.Context, c arbutuspb.PeerClient) (*arbutuspb.StatusResponse, error) {
-		return c.Status(ctx, &arbutuspb.StatusRequest{Members: members})
+func askStatus(members bool) ask[*arbutuspb.StatusResponse] {
+	return func(ctx context.Context, c grpc.ClientConnInterface) (*arbutuspb.StatusResponse, error) {
+		return arbutuspb.NewPeerClient(c).Status(ctx, &arbutuspb.StatusRequest{Members: members})
 	}
 }
--- a/cmd/arbutusctl/statusfront.go
+++ b/cmd/arbutusctl/statusfront.go
@@ -8,11 +8,8 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
 	"github.com/arbutusline/arbutusline/api/arbutuspb"
@@ -63,36 +60,21 @@
 	Faults  []string      `json:"faults"`
 }
 
-// describeAll asks the processes that are routers on entry hosts. It returns false
-// when the first process that answers is not one.
+// describeAll asks the processes as routers on entry hosts. It returns false when one of
+// them is another process.
 func describeAll(s *session, addresses []string) (entryFleet, bool) {
-	answers := make([]entryStatus, len(addresses))
-	other := make([]bool, len(addresses))
-	var group errgroup.Group
-	group.SetLimit(peerCalls)
-	for i, address := range addresses {
-		group.Go(func() error {
-			answer, err := describe(s.ctx, address)
-			other[i] = status.Code(err) == codes.Unimplemented
-			answers[i] = fromDescription(address, answer, err)
-			return nil
-		})
-	}
-	_ = group.Wait() // The functions return no error.
-	if slices.Contains(other, true) {
-		return entryFleet{}, false
+	var out entryFleet
+	for _, r := range askAll(s.ctx, addresses, describe) {
+		if status.Code(r.err) == codes.Unimplemented {
+			return entryFleet{}, false
+		}
+		out.Routers = append(out.Routers, fromDescription(r.address, r.value, r.err))
 	}
-	return entryFleet{Routers: answers, Faults: faultsOf(answers)}, true
+	out.Faults = faultsOf(out.Routers)
+	return out, true
 }
 
-func describe(ctx context.Context, address string) (*arbutuspb.RouterDescription, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
-	if err != nil {
-		return nil, errors.Wrapf(err, "address %s", address)
-	}
-	defer func() { _ = conn.Close() }() // The answer is complete.
+func describe(ctx context.Context, conn grpc.ClientConnInterface) (*arbutuspb.RouterDescription, error) {
 	return arbutuspb.NewRouterStatusClient(conn).Describe(ctx, &arbutuspb.DescribeRequest{})
 }
 
