Keep the answers of other segments when an outdated segment is deleted

Cause: a load deletes an unsealed segment below the newest without an answer prefix, and the module then listed the prefix "" and deleted every object of the store that it returned. The new module test showed it before the change: after one such deletion the list of all objects was empty.

Change: a deletion without an answer prefix keeps all answers, and the module lists only prefixes below the root of the answers. The answers of an outdated segment are kept on purpose: a finish that is queued again after a failed write may be recorded in a newer segment and still name them.

A planted failover after the connection was opened fails TestWriteWithoutAReaderIsAmbiguous or TestLostResponsesAreAmbiguousAndNotRetried.

--- a/decision/ledger/ledger_test.go
+++ b/decision/ledger/ledger_test.go
@@ -18,6 +18,8 @@
 type fakeStore struct {
 	objects map[string]objectstore.Object
 	version uint64
+	// answerPrefixes are those of all DeleteSegment actions.
+	answerPrefixes []string
 }
 
 func (f *fakeStore) put(key string, value []byte, expect uint64) (uint64, error) {
@@ -54,6 +56,7 @@
 		_, err := f.put(a.ObjectKey, a.Value, 0)
 		return PutAnswerResult{OpID: a.OpID, Err: err}
 	case DeleteSegment:
+		f.answerPrefixes = append(f.answerPrefixes, a.AnswerPrefix)
 		delete(f.objects, a.ObjectKey)
 	}
 	return nil
@@ -212,3 +215,27 @@
 	_, ok = index.newestSegment(key)
 	assert.Assert(t, !ok)
 }
+
+// Guards against losing answers when a load deletes an outdated unsealed segment. A
+// finish that is queued again after a failed write refers to an answer object under the
+// number of the segment of its first write.
+func TestOutdatedSegmentIsDeletedWithoutAnswers(t *testing.T) {
+	store := newStore()
+	cfg := Config{SegmentBytes: 4000}
+	writer := newHarness(t, store, "r1", cfg)
+	for i := range 100 {
+		writer.run(claimOp(fmt.Sprint(i), fmt.Sprintf("%d/1", i), ""))
+	}
+	outdatedKey := SegmentObjectKey(0, 1)
+	outdated := store.objects[outdatedKey]
+	unsealed, _, found := strings.Cut(string(outdated.Value), `{"seal"`)
+	assert.Assert(t, found, "segment 1 is sealed")
+	_, err := store.put(outdatedKey, []byte(unsealed), outdated.Version)
+	assert.NilError(t, err)
+
+	loader := newHarness(t, store, "r2", cfg)
+	loader.run(claimOp("new", "new/1", ""))
+	_, exists := store.objects[outdatedKey]
+	assert.Assert(t, !exists)
+	assert.DeepEqual(t, store.answerPrefixes, []string{""})
+}
--- a/decision/ledger/load.go
+++ b/decision/ledger/load.go
@@ -84,7 +84,8 @@
 // finishLoad ends the load: the tail is the newest segment if it is not sealed,
 // otherwise a new segment that is not in the store yet. An unsealed segment below it
 // was created by a router that had been paused for longer than the retention. None of
-// its claims was ever confirmed to a caller, so it is deleted.
+// its claims was ever confirmed to a caller, so it is deleted. Its answer objects are
+// kept: the finish that stored one may be recorded in a newer segment.
 func (p *Partition) finishLoad(now time.Duration) []Action {
 	var actions []Action
 	var newestSealed uint64
--- a/decision/ledger/messages.go
+++ b/decision/ledger/messages.go
@@ -109,7 +109,8 @@
 		Value     []byte
 	}
 	// DeleteSegment deletes a segment if it has ExpectedVersion, and the answer
-	// objects whose keys start with AnswerPrefix. Its result is not reported.
+	// objects whose keys start with AnswerPrefix. An empty AnswerPrefix keeps all
+	// answer objects. Its result is not reported.
 	DeleteSegment struct {
 		ObjectKey       string
 		ExpectedVersion uint64
--- a/decision/ledger/record.go
+++ b/decision/ledger/record.go
@@ -184,10 +184,13 @@
 	return fmt.Sprintf("%s%012d", SegmentPrefix(partition), seq)
 }
 
-// answerObjectPrefix returns the object key prefix of the answers of a segment. It
-// is outside SegmentPrefix, so that listing the segments returns no answers.
+// AnswerObjectRoot is the object key prefix of the answers of all segments. It is
+// outside SegmentPrefix, so that listing the segments returns no answers.
+const AnswerObjectRoot = "ledger-answer/"
+
+// answerObjectPrefix returns the object key prefix of the answers of a segment.
 func answerObjectPrefix(partition int, seq uint64) string {
-	return fmt.Sprintf("ledger-answer/%03d/%012d/", partition, seq)
+	return fmt.Sprintf("%s%03d/%012d/", AnswerObjectRoot, partition, seq)
 }
 
 func parseSegmentObjectKey(partition int, key string) (uint64, bool) {
--- a/modules/ledger/ledger_test.go
+++ b/modules/ledger/ledger_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/arbutusline/arbutusline/decision/ledger"
 	"github.com/arbutusline/arbutusline/objectstore"
+	"github.com/arbutusline/arbutusline/objectstore/fake"
 	"github.com/arbutusline/arbutusline/settings"
 )
 
@@ -154,3 +155,39 @@
 	assert.Assert(t, errors.Is(l.Submit(ctx, claimOp("new", "1-3/1", 1)).Err, ledger.ErrUnavailable))
 	assert.NilError(t, l.Stop(ctx))
 }
+
+// Guards against deleting all objects of the store with a segment whose answers are
+// kept.
+func TestSegmentIsDeletedWithItsAnswersOnly(t *testing.T) {
+	ctx := context.Background()
+	store := fake.New()
+	l := startLedger(t, store, "r1")
+	put := func(key string) uint64 {
+		version, err := store.Put(ctx, key, []byte("v"), objectstore.MustNotExist)
+		assert.NilError(t, err)
+		return version
+	}
+	put("rules/current")
+	put("ledger-answer/000/000000000001/a")
+	put("ledger-answer/000/000000000002/b")
+	first, second := put("ledger/000/000000000001"), put("ledger/000/000000000002")
+	keys := func() []string {
+		list, err := store.List(ctx, "")
+		assert.NilError(t, err)
+		var out []string
+		for _, o := range list {
+			out = append(out, o.Key)
+		}
+		return out
+	}
+
+	l.deleteSegment(ctx, ledger.DeleteSegment{ObjectKey: "ledger/000/000000000001", ExpectedVersion: first})
+	assert.DeepEqual(t, keys(), []string{
+		"ledger-answer/000/000000000001/a", "ledger-answer/000/000000000002/b", "ledger/000/000000000002", "rules/current",
+	})
+	l.deleteSegment(ctx, ledger.DeleteSegment{
+		ObjectKey: "ledger/000/000000000002", ExpectedVersion: second, AnswerPrefix: "ledger-answer/000/000000000002/",
+	})
+	assert.DeepEqual(t, keys(), []string{"ledger-answer/000/000000000001/a", "rules/current"})
+	assert.NilError(t, l.Stop(ctx))
+}
--- a/modules/ledger/partition.go
+++ b/modules/ledger/partition.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -151,12 +152,16 @@
 	return ledger.ListResult{ObjectKeys: keys, Err: classifyReadError(err)}
 }
 
-// deleteSegment deletes a segment that is past its retention and the answer objects
-// that belong to it. Another router may have deleted them already.
+// deleteSegment deletes a segment and the answer objects that belong to it. Another
+// router may have deleted them already. A prefix outside the answers lists nothing,
+// because an empty one would match every object of the store.
 func (l *Ledger) deleteSegment(ctx context.Context, a ledger.DeleteSegment) {
 	if err := l.store.Delete(ctx, a.ObjectKey, a.ExpectedVersion); err != nil {
 		return
 	}
+	if !strings.HasPrefix(a.AnswerPrefix, ledger.AnswerObjectRoot) {
+		return
+	}
 	answers, err := l.store.List(ctx, a.AnswerPrefix)
 	if err != nil {
 		return
--- a/modules/objectstore/client_test.go
+++ b/modules/objectstore/client_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"testing"
 	"time"
@@ -137,17 +138,58 @@
 			defer a.Close()
 			defer b.Close()
 			client := newTestClient(t, a.URL, b.URL)
-			client.CallTimeout = settings.Duration(300 * time.Millisecond)
-			_, err := client.Put(context.Background(), "k", []byte("v"), 3)
-			assert.ErrorIs(t, err, objectstore.ErrAmbiguous)
-			assert.Equal(t, len(calls), 1)
-			err = client.Delete(context.Background(), "k", 3)
-			assert.ErrorIs(t, err, objectstore.ErrAmbiguous)
-			assert.Equal(t, len(calls), 2)
+			client.CallTimeout = settings.Duration(time.Minute)
+			// write makes a call that ends when its response is lost, or by ctx once the
+			// handler runs. A call timeout could end before that on a busy host.
+			write := func(method string, call func(ctx context.Context) error) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				result := make(chan error, 1)
+				go func() { result <- call(ctx) }()
+				assert.Equal(t, <-calls, method)
+				if name == "no response" {
+					cancel()
+				}
+				assert.ErrorIs(t, <-result, objectstore.ErrAmbiguous)
+				assert.Equal(t, len(calls), 0, "the write was repeated")
+			}
+			write(http.MethodPut, func(ctx context.Context) error {
+				_, err := client.Put(ctx, "k", []byte("v"), 3)
+				return err
+			})
+			write(http.MethodDelete, func(ctx context.Context) error { return client.Delete(ctx, "k", 3) })
 		})
 	}
 }
 
+// Guards against sending a write to another address, or reporting it as rejected, when
+// the call ends after the connection was opened and before the server has read the
+// request. The server runs such a write late.
+func TestWriteWithoutAReaderIsAmbiguous(t *testing.T) {
+	late, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	calls := make(chan string, 10)
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { calls <- r.Method })
+	other := httptest.NewServer(handler)
+	defer other.Close()
+	client := newTestClient(t, "http://"+late.Addr().String(), other.URL)
+	client.CallTimeout = settings.Duration(time.Minute)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(httptrace.WroteRequestInfo) { cancel() },
+	})
+	_, err = client.Put(ctx, "k", []byte("v"), 3)
+	assert.ErrorIs(t, err, objectstore.ErrAmbiguous)
+	assert.Equal(t, len(calls), 0, "the write was sent to the other address")
+
+	server := &http.Server{Handler: handler}
+	defer func() { _ = server.Close() }()
+	go func() { _ = server.Serve(late) }()
+	assert.Equal(t, <-calls, http.MethodPut)
+	assert.Equal(t, len(calls), 0)
+}
+
 // Guards against treating a refused connection as ambiguous, and against giving up
 // while another address works.
 func TestRefusedConnectionFailsOver(t *testing.T) {
