Send copies of a request that has no output yet where it runs

Cause, from the audit of the end-to-end test: copies that arrive at one router at the same moment went to different engines, and a suspect that its isolation endpoint refused went to another one, because the isolation endpoint was chosen among the endpoints that this copy had not tried. In a second wave two seconds later two engines ran the suspect at the same time.

Change: a router sends copies of a request that has produced no output to the endpoint where one runs, and the isolation endpoint no longer depends on what a copy has tried.

--- a/decision/placement/types.go
+++ b/decision/placement/types.go
@@ -52,6 +52,8 @@
 	SourcePrefixIndex
 	// SourceRandom is a random choice.
 	SourceRandom
+	// SourceRunningCopy is the endpoint at which a copy of the request runs.
+	SourceRunningCopy
 )
 
 // String returns the name of the source for logs and traces.
@@ -63,6 +65,8 @@
 		return "learned"
 	case SourceRandom:
 		return "probe"
+	case SourceRunningCopy:
+		return "running copy"
 	}
 	return "unknown"
 }
--- a/decision/quarantine/quarantine_test.go
+++ b/decision/quarantine/quarantine_test.go
@@ -46,3 +46,21 @@
 	assert.Equal(t, table.Level(time.Minute, 149, 0), LevelSuspect)
 	assert.Equal(t, len(table.PendingReports(time.Minute, 2)), 2)
 }
+
+// Guards against losing count of copies, which would send later requests to one
+// endpoint for ever.
+func TestCopiesAreCounted(t *testing.T) {
+	c := NewCopies()
+	c.Start(7, "b")
+	c.Start(7, "a")
+	assert.Equal(t, c.Endpoint(7), "a", "all routers break ties alike")
+	c.Start(7, "b")
+	assert.Equal(t, c.Endpoint(7), "b")
+	assert.Equal(t, c.Endpoint(8), "")
+	c.End(7, "b")
+	c.End(7, "b")
+	assert.Equal(t, c.Endpoint(7), "a")
+	c.End(7, "a")
+	c.End(7, "a")
+	assert.Equal(t, c.Len(), 0)
+}
--- a/modules/dispatch/dispatch.go
+++ b/modules/dispatch/dispatch.go
@@ -105,6 +105,7 @@
 	retryBudget *budget.RetryBudget
 	teamLimits  *budget.TeamLimits
 	suspects    *quarantine.Table
+	copies      *quarantine.Copies
 	// pools holds the endpoints of each pool as they were last passed to the placer.
 	pools map[string][]placement.Endpoint
 }
@@ -123,7 +124,7 @@
 	d.placer = placement.New(placement.Config{MaxCandidates: d.MaxCandidates},
 		rand.New(rand.NewPCG(d.node.Incarnation(), 0)))
 	d.retryBudget, d.teamLimits = &budget.RetryBudget{}, budget.NewTeamLimits()
-	d.suspects = quarantine.New(quarantine.Config{})
+	d.suspects, d.copies = quarantine.New(quarantine.Config{}), quarantine.NewCopies()
 	d.gossip.OnCrashSuspicion(d.mergePeerSuspicion)
 	d.applyRules(d.rules.Current())
 	d.rules.Subscribe(d.applyRules)
--- a/modules/dispatch/execution.go
+++ b/modules/dispatch/execution.go
@@ -44,6 +44,9 @@
 	// because the goroutines that receive events read it too.
 	placementRequest *placement.Request
 	refusalCount     int
+	// copyEndpoint is the endpoint at which the request counts as a copy without
+	// output, or empty.
+	copyEndpoint string
 	// refusedForCost lists the endpoints that refused only because another endpoint
 	// looked cheaper.
 	refusedForCost []string
@@ -80,6 +83,7 @@
 	for {
 		x.performActions(actions)
 		if x.result != nil {
+			x.untrackCopy()
 			x.recordOutcome()
 			return *x.result
 		}
@@ -308,6 +312,7 @@
 		CostMs: c.CostMS, CachedTokens: int32(c.CachedTokens),
 	})
 	x.candidate = c
+	x.trackCopy(c.Endpoint)
 	x.refusedForCost = slices.DeleteFunc(x.refusedForCost, func(name string) bool { return name == c.Endpoint })
 	return attempt.EndpointSelected{Endpoint: c.Endpoint, AgentIncarnation: agent.agentIncarnation, MustQueue: agent.mustQueue}
 }
--- a/modules/dispatch/observe.go
+++ b/modules/dispatch/observe.go
@@ -63,15 +63,19 @@
 		x.recordAdmitted(in)
 	case attempt.Refused:
 		x.recordRefused(in)
+		x.untrackCopy()
 		x.trace.AddStep(&arbutuspb.ExplainStep{What: "refused", Endpoint: x.currentAttempt.Endpoint, Reason: in.Reason})
 	case attempt.Failed:
 		x.mergeAttemptSuspicion(in)
+		x.untrackCopy()
 		x.trace.AddStep(&arbutuspb.ExplainStep{What: "failed", Endpoint: x.currentAttempt.Endpoint, Reason: in.Reason})
 		x.observeAttemptFailure()
 	case attempt.ConnectionLost:
+		x.untrackCopy()
 		x.trace.AddStep(&arbutuspb.ExplainStep{What: "connection lost", Endpoint: x.currentAttempt.Endpoint})
 		x.observeAttemptFailure()
 	case attempt.Chunk:
+		x.untrackCopy()
 		x.restoreResumedText(in)
 	case attempt.CallerDisconnected:
 		x.trace.AddStep(&arbutuspb.ExplainStep{What: "caller went away"})
--- a/modules/dispatch/suspects.go
+++ b/modules/dispatch/suspects.go
@@ -6,6 +6,7 @@
 
 	"github.com/arbutusline/arbutusline/api/arbutuspb"
 	"github.com/arbutusline/arbutusline/decision/attempt"
+	"github.com/arbutusline/arbutusline/decision/membership"
 	"github.com/arbutusline/arbutusline/decision/placement"
 	"github.com/arbutusline/arbutusline/decision/quarantine"
 	"github.com/arbutusline/arbutusline/rules"
@@ -49,27 +50,52 @@
 	return int(x.d.suspects.Level(x.d.now(), x.req.Fingerprint, 0))
 }
 
-// rankCandidates returns the endpoints to try, best first. A suspected request is only
-// tried at its isolation endpoint, where copies from all routers run one at a time. The
-// isolation endpoint is chosen among the endpoints whose agents are known.
+// rankCandidates returns the endpoints to try, best first. Copies of a request that has
+// produced no output yet are tried where it runs. A suspected request is only tried at
+// its isolation endpoint, where copies from all routers run one at a time. The isolation
+// endpoint is chosen among all endpoints whose agents are alive: it must not depend on
+// which endpoints one copy has tried.
 func (x *execution) rankCandidates(exclude []string) []placement.Candidate {
 	d := x.d
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.suspects.Level(d.now(), x.req.Fingerprint, 0) == quarantine.LevelClear {
+		if e := d.copies.Endpoint(x.req.Fingerprint); e != "" && !slices.Contains(exclude, e) {
+			return []placement.Candidate{{Endpoint: e, Source: placement.SourceRunningCopy, MustQueue: true}}
+		}
 		r := *x.placementRequest
 		r.Exclude, r.RefusedForCost = exclude, x.refusedForCost
 		return d.placer.Rank(d.now(), &r, nil)
 	}
 	var names []string
 	for _, e := range d.pools[rules.PoolName(x.req.Kind, x.req.Target, x.req.Team.Half)] {
-		if _, known := d.gossip.AgentByEndpoint(e.Name); known && !slices.Contains(exclude, e.Name) {
+		if member, known := d.gossip.AgentByEndpoint(e.Name); known && member.State == membership.Alive {
 			names = append(names, e.Name)
 		}
 	}
 	isolationEndpoint := quarantine.IsolationEndpoint(x.req.Fingerprint, names)
-	if isolationEndpoint == "" {
+	if isolationEndpoint == "" || slices.Contains(exclude, isolationEndpoint) {
 		return nil
 	}
 	return []placement.Candidate{{Endpoint: isolationEndpoint, Source: placement.SourceHashRing}}
 }
+
+// trackCopy records that the current attempt starts without output yet.
+func (x *execution) trackCopy(endpoint string) {
+	x.untrackCopy()
+	x.d.mu.Lock()
+	defer x.d.mu.Unlock()
+	x.d.copies.Start(x.req.Fingerprint, endpoint)
+	x.copyEndpoint = endpoint
+}
+
+// untrackCopy records that the current attempt produced output or ended.
+func (x *execution) untrackCopy() {
+	if x.copyEndpoint == "" {
+		return
+	}
+	x.d.mu.Lock()
+	defer x.d.mu.Unlock()
+	x.d.copies.End(x.req.Fingerprint, x.copyEndpoint)
+	x.copyEndpoint = ""
+}
