Control overload before the engines, and let routers prefer their share of them

Change: package overload decides on the expected first event, a margin learned per route, and the latency objective whether a request starts, waits at the router for an eighth of the objective, or is refused with a Retry-After that lets refused callers return one after the other. The cost of a new copy is bounded by the recompute cost of the part, so short prompts no longer queue behind long ones for 90 cached tokens. Requests without large shared parts prefer the router's aperture, its even share of the endpoints of its zone. The loads of other routers are replaced router by router instead of summed up again at each message.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -32,6 +32,10 @@
 		"request", "route", "service", "endpoint", "address", "try", "result", "status", "weights", "cost_ms", "age_ms",
 		"left_ms", "last_event", "configuration", "error",
 	},
+	"request refused because of overload": {
+		"request", "route", "service", "reason", "endpoint", "wait_ms", "prefill_ms", "margin_ms", "objective_ms", "left_ms",
+		"retry_after_ms",
+	},
 	"failed to write response to caller": {"request", "error"},
 	"failed to flush events to caller":   {"request", "error"},
 
--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -343,12 +343,17 @@
 	return out
 }
 
-// SetRemoteLoads replaces the work of all other routers.
-func (s *Selector) SetRemoteLoads(loads []EndpointLoad) {
-	for _, st := range s.endpoints {
-		st.remoteRunning, st.remotePendingPrefillTokens, st.remoteLongRunning = 0, 0, 0
+// ReplaceRemoteLoads replaces the work that another router reported before by the work
+// that it reports now. The cost does not depend on the number of routers.
+func (s *Selector) ReplaceRemoteLoads(before, now []EndpointLoad) {
+	for _, l := range before {
+		if st := s.endpoints[l.EndpointID]; st != nil {
+			st.remoteRunning = max(0, st.remoteRunning-l.Running)
+			st.remotePendingPrefillTokens = max(0, st.remotePendingPrefillTokens-l.PendingPrefillTokens)
+			st.remoteLongRunning = max(0, st.remoteLongRunning-l.LongRunning)
+		}
 	}
-	for _, l := range loads {
+	for _, l := range now {
 		st := s.endpointState(l.EndpointID)
 		st.remoteRunning += l.Running
 		st.remotePendingPrefillTokens += l.PendingPrefillTokens
@@ -362,9 +367,14 @@
 	// The pools of earlier views are no longer needed.
 	clear(s.pools)
 	for id, st := range s.endpoints {
-		if v.EndpointsByID[id] == nil && st.running == 0 {
+		if v.EndpointsByID[id] != nil || st.running > 0 {
+			continue
+		}
+		s.partIndex.removeEndpoint(id)
+		// The state is kept until the other routers have taken back the work that they
+		// reported for it.
+		if st.remoteRunning == 0 && st.remotePendingPrefillTokens == 0 {
 			delete(s.endpoints, id)
-			s.partIndex.removeEndpoint(id)
 		}
 	}
 }
--- a/decision/selection/parts.go
+++ b/decision/selection/parts.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	// secondPreferredCost and notPreferredCost are added for an endpoint that lacks
-	// shared parts and that rendezvous hashing ranks second, or lower than that. They
-	// let all routers choose the same endpoint for a new part, unless that endpoint
-	// has much more work than others.
+	// secondPreferredCost and notPreferredCost are the most that is added for an
+	// endpoint that lacks shared parts and that rendezvous hashing ranks second, or
+	// lower than that. They let all routers choose the same endpoint for a new part,
+	// unless that endpoint has much more work than others. The parts' own recompute
+	// cost bounds them, so that a short prompt does not queue behind a long one.
 	secondPreferredCost = 200 * time.Millisecond
 	notPreferredCost    = 600 * time.Millisecond
 )
--- a/decision/selection/pool.go
+++ b/decision/selection/pool.go
@@ -15,6 +15,8 @@
 type pool struct {
 	view       *fleet.View
 	candidates []candidate
+	// aperture are the positions of the candidates that this router prefers.
+	aperture []int
 	// newestLoadedVersion is the newest weights version that an endpoint of the pool
 	// has loaded.
 	newestLoadedVersion uint64
@@ -68,6 +70,7 @@
 		p.newestLoadedVersion = max(p.newestLoadedVersion, c.weightsVersion)
 		p.candidates = append(p.candidates, c)
 	}
+	p.fillAperture(s.zone, s.zonePosition, s.zoneRouters)
 }
 
 // preferred returns the positions of the two endpoints that rendezvous hashing ranks
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -85,6 +85,9 @@
 	WeightsVersion uint64
 	// Cost is the estimated cost of the request at the endpoint.
 	Cost time.Duration
+	// Wait is the expected time until the endpoint begins with the prompt, and Prefill
+	// the expected time to fetch and compute the prompt. Both are 0 for plain requests.
+	Wait, Prefill time.Duration
 	// CachedTokens is the expected number of cached prompt tokens.
 	CachedTokens int
 	// FetchFrom is the address of another endpoint or the KV cache store from which
@@ -99,11 +102,14 @@
 
 // Selector selects endpoints by what the router has observed of them.
 type Selector struct {
-	cfg       Config
-	zone      string
-	endpoints map[string]*endpointState
-	partIndex partIndex
-	pools     map[poolKey]*pool
+	cfg  Config
+	zone string
+	// zonePosition is the router's position among the zoneRouters routers of its
+	// availability zone.
+	zonePosition, zoneRouters int
+	endpoints                 map[string]*endpointState
+	partIndex                 partIndex
+	pools                     map[poolKey]*pool
 	// prefillPerToken and recomputePerToken are the costs of computing a token of the
 	// prompt's last part and of a shared part.
 	prefillPerToken, recomputePerToken time.Duration
@@ -153,10 +159,12 @@
 	if r.Prompt != nil {
 		d.findHolders(v)
 	}
-	d.consider(d.fetchPlan.firstPreferred)
-	d.consider(d.fetchPlan.secondPreferred)
-	for i := range d.pool.candidates {
-		d.consider(i)
+	if !d.considerAperture() {
+		d.consider(d.fetchPlan.firstPreferred)
+		d.consider(d.fetchPlan.secondPreferred)
+		for i := range d.pool.candidates {
+			d.consider(i)
+		}
 	}
 	if d.bestIndex < 0 {
 		return Choice{}, false
@@ -200,7 +208,8 @@
 	d.fetchPlan.firstPreferred, d.fetchPlan.secondPreferred = d.pool.preferred(keys)
 	d.uncachedPromptCost = d.prefillTime(d.unsharedTokens)
 	if len(d.fetchPlan.sourceLists) == 0 && d.sharedTokens > 0 {
-		d.uncachedPromptCost += d.recomputeCost(d.sharedTokens) + notPreferredCost
+		recompute := d.recomputeCost(d.sharedTokens)
+		d.uncachedPromptCost += recompute + min(notPreferredCost, recompute)
 	}
 }
 
@@ -245,6 +254,8 @@
 	}
 	plan := d.planPrefill(d.bestIndex, c)
 	out.WeightsVersion, out.CachedTokens = c.weightsVersion, plan.cachedTokens
+	out.Wait = d.queueTime(c.state)
+	out.Prefill = d.prefillTime(d.request.Prompt.Tokens-plan.cachedTokens-plan.fetchedTokens) + d.fetchTime(plan.fetchedTokens)
 	if plan.fetchedTokens > 0 {
 		from, _ := d.fetchPlan.sourceFor(c.weightsVersion, plan.cachedParts)
 		out.FetchFrom = from.address
@@ -259,7 +270,7 @@
 // too long when it starts the request.
 func (d *decision) weightsExpired(c *candidate) bool {
 	return c.weightsVersion < d.pool.newestLoadedVersion && c.superseded && !d.request.AllowExpiredWeights &&
-		d.wall.Sub(c.supersededAt)+d.prefillTime(c.state.pendingPrefillTokens+c.state.remotePendingPrefillTokens) > d.cfg.OldWeightsLimit+expiredWeightsTolerance
+		d.wall.Sub(c.supersededAt)+d.queueTime(c.state) > d.cfg.OldWeightsLimit+expiredWeightsTolerance
 }
 
 // expiredWeightsTolerance is how long after their limit weights may still be used when
@@ -285,7 +296,7 @@
 	if d.request.Prompt == nil {
 		return cost + d.cfg.ServiceTime*running/time.Duration(c.endpoint.Slots)
 	}
-	return cost + d.prefillTime(st.pendingPrefillTokens+st.remotePendingPrefillTokens) + d.cfg.RunningRequestCost*running
+	return cost + d.queueTime(st) + d.cfg.RunningRequestCost*running
 }
 
 // prefillPlan describes how an endpoint gets the shared parts of the prompt; what it
@@ -308,19 +319,19 @@
 	}
 	missingTokens := d.sharedTokens - plan.cachedTokens
 	if c.superseded {
-		wait := d.prefillTime(c.state.pendingPrefillTokens + c.state.remotePendingPrefillTokens)
+		wait := d.queueTime(c.state)
 		plan.cost += d.oldWeightsCost(d.wall.Sub(c.supersededAt), wait, d.request.MovedForWeightsChange)
 	}
 	if missingTokens >= minFetchTokens && len(d.fetchPlan.sourceLists) > 0 {
 		if from, ok := d.fetchPlan.sourceFor(c.weightsVersion, plan.cachedParts); ok && from.prefixTokens-plan.cachedTokens >= minFetchTokens {
 			plan.fetchedTokens = from.prefixTokens - plan.cachedTokens
 			missingTokens -= plan.fetchedTokens
-			plan.cost += time.Duration(float64(plan.fetchedTokens) / d.cfg.FetchTokensPerMS * float64(time.Millisecond))
+			plan.cost += d.fetchTime(plan.fetchedTokens)
 		}
 	}
 	plan.cost += d.prefillTime(d.unsharedTokens) + d.recomputeCost(missingTokens)
 	if plan.cachedTokens < d.sharedTokens {
-		plan.cost += d.fetchPlan.newCopyCost(i)
+		plan.cost += min(d.fetchPlan.newCopyCost(i), d.recomputeCost(d.sharedTokens-plan.cachedTokens))
 	}
 	return plan
 }
@@ -354,6 +365,16 @@
 	return time.Duration(tokens) * s.prefillPerToken
 }
 
+// queueTime is the time in which an endpoint computes the prompts that wait there.
+func (s *Selector) queueTime(st *endpointState) time.Duration {
+	return s.prefillTime(st.pendingPrefillTokens + st.remotePendingPrefillTokens)
+}
+
+// fetchTime is the time in which an engine fetches cached tokens.
+func (s *Selector) fetchTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / s.cfg.FetchTokensPerMS * float64(time.Millisecond))
+}
+
 // recomputeCost is the cost of computing shared tokens that an endpoint lacks.
 func (s *Selector) recomputeCost(tokens int) time.Duration {
 	return time.Duration(tokens) * s.recomputePerToken
--- a/decision/selection/selection_test.go
+++ b/decision/selection/selection_test.go
@@ -93,7 +93,7 @@
 	again := mustSelect(t, s, 0, v, r)
 	assert.Equal(t, again.Endpoint.ID, first.Endpoint.ID)
 	assert.Equal(t, again.CachedTokens, 6300)
-	s.SetRemoteLoads([]EndpointLoad{{EndpointID: first.Endpoint.ID, Running: 10, PendingPrefillTokens: 100000}})
+	s.ReplaceRemoteLoads(nil, []EndpointLoad{{EndpointID: first.Endpoint.ID, Running: 10, PendingPrefillTokens: 100000}})
 	other := mustSelect(t, s, 0, v, r)
 	assert.Assert(t, other.Endpoint.ID != first.Endpoint.ID)
 	assert.Equal(t, other.FetchFrom, first.Endpoint.Address)
@@ -105,7 +105,7 @@
 	v, s := newView(2, 1), New(testConfig(), "a")
 	s.ObserveCacheEvent(0, "e0", PartKey("", testModel, 1), 1, 2500)
 	s.ObserveCacheEvent(0, "e1", PartKey("", testModel, 2), 1, 3800)
-	s.SetRemoteLoads([]EndpointLoad{{EndpointID: "e1", Running: 10, PendingPrefillTokens: 100000}})
+	s.ReplaceRemoteLoads(nil, []EndpointLoad{{EndpointID: "e1", Running: 10, PendingPrefillTokens: 100000}})
 	c := mustSelect(t, s, 0, v, newRequest(1, 2))
 	assert.Equal(t, c.Endpoint.ID, "e0")
 	assert.Equal(t, c.CachedTokens, 2500)
@@ -126,7 +126,7 @@
 	s.ObserveCacheEvent(0, "e2", PartKey("", testModel, 1), 2, 2500)
 	s.ObserveCacheEvent(0, KVCacheStoreID, PartKey("", testModel, 2), 1, 3800)
 	s.ObserveCacheEvent(0, KVCacheStoreID, PartKey("", testModel, 2), 2, 3800)
-	s.SetRemoteLoads([]EndpointLoad{{EndpointID: "e1", Running: 10, PendingPrefillTokens: 100000}, {EndpointID: "e2", Running: 10, PendingPrefillTokens: 100000}})
+	s.ReplaceRemoteLoads(nil, []EndpointLoad{{EndpointID: "e1", Running: 10, PendingPrefillTokens: 100000}, {EndpointID: "e2", Running: 10, PendingPrefillTokens: 100000}})
 	c := mustSelect(t, s, 0, v, newRequest(1, 2))
 	assert.Equal(t, c.Endpoint.ID, "e0")
 	assert.Equal(t, c.FetchFrom, v.EndpointsByID["e1"].Address)
@@ -140,7 +140,7 @@
 func TestSmallPartsAreFetched(t *testing.T) {
 	v, s := newView(2, 1), New(testConfig(), "a")
 	s.ObserveCacheEvent(0, "e1", PartKey("", testModel, 1), 1, 120)
-	s.SetRemoteLoads([]EndpointLoad{{EndpointID: "e1", Running: 10, PendingPrefillTokens: 100000}})
+	s.ReplaceRemoteLoads(nil, []EndpointLoad{{EndpointID: "e1", Running: 10, PendingPrefillTokens: 100000}})
 	c := mustSelect(t, s, 0, v, &Request{Service: "llm", Prompt: &fleet.Prompt{
 		Model: testModel, Tokens: 800, MaxOutputTokens: 20, Parts: []fleet.PromptPart{{ID: 1, Tokens: 120}, {ID: 999, Tokens: 680}},
 	}})
@@ -272,7 +272,7 @@
 	v, s := newView(2, 1), New(testConfig(), "a")
 	v.EndpointsByID["e1"].WeightsVersions = map[string]uint64{testModel: 2}
 	v.PublishedWeightsVersions[testModel] = []fleet.PublishedWeightsVersion{{Version: 2, PublishedAt: wall.Add(-5500 * time.Millisecond)}}
-	s.SetRemoteLoads([]EndpointLoad{{EndpointID: "e1", Running: 12, PendingPrefillTokens: 40000}})
+	s.ReplaceRemoteLoads(nil, []EndpointLoad{{EndpointID: "e1", Running: 12, PendingPrefillTokens: 40000}})
 	for part := range uint64(20) {
 		assert.Equal(t, mustSelect(t, s, 0, v, newRequest(1, part)).Endpoint.ID, "e1")
 	}
@@ -380,7 +380,7 @@
 				s.ObserveEnded(0, &Request{}, Choice{Endpoint: e}, Outcome(rng.IntN(int(OutcomeNoResponse)+1)))
 			}
 		}
-		s.SetRemoteLoads(loads)
+		s.ReplaceRemoteLoads(nil, loads)
 		r := &Request{Service: "llm", Prompt: &fleet.Prompt{
 			Model: testModel, Tokens: 13000, Parts: []fleet.PromptPart{{ID: 0, Tokens: 2000}, {ID: 1, Tokens: 4000}, {ID: 2, Tokens: 6000}, {ID: 99, Tokens: 1000}},
 		}}
@@ -401,3 +401,25 @@
 		assert.Assert(t, !found || got.Cost == least, "seed %d: %s, least %s", seed, got.Cost, least)
 	}
 }
+
+// Guards against work of other routers that is counted twice or kept for ever, also while
+// the endpoint is out of the view.
+func TestRemoteLoadsAreReplacedByRouter(t *testing.T) {
+	v, s := newView(2, 1), New(testConfig(), "a")
+	load := func(n int) []EndpointLoad {
+		return []EndpointLoad{{EndpointID: "e0", Running: n, PendingPrefillTokens: 10 * n}}
+	}
+	s.ReplaceRemoteLoads(nil, load(5))
+	s.ReplaceRemoteLoads(nil, load(3))
+	assert.Equal(t, s.RunningRequests("e0"), 8)
+	s.ForgetRemovedEndpoints(newView(0, 1))
+	s.ForgetRemovedEndpoints(v)
+	s.ReplaceRemoteLoads(load(5), load(1))
+	assert.Equal(t, s.RunningRequests("e0"), 4)
+	assert.Equal(t, s.PendingPrefillTokens("e0"), 40)
+	s.ReplaceRemoteLoads(load(1), nil)
+	s.ReplaceRemoteLoads(load(3), nil)
+	assert.Equal(t, s.PendingPrefillTokens("e0"), 0)
+	s.ForgetRemovedEndpoints(newView(0, 1))
+	assert.Equal(t, len(s.endpoints), 0)
+}
--- a/decision/selection/use_test.go
+++ b/decision/selection/use_test.go
@@ -30,7 +30,7 @@
 			s.ObserveStarted(now, &Request{}, Choice{Endpoint: e})
 		}},
 		{Full, func(s *Selector, e *fleet.Endpoint) {
-			s.SetRemoteLoads([]EndpointLoad{{EndpointID: e.ID, Running: e.Slots * maxRequestsPerSlot}})
+			s.ReplaceRemoteLoads(nil, []EndpointLoad{{EndpointID: e.ID, Running: e.Slots * maxRequestsPerSlot}})
 		}},
 		{RecentlyRefused, func(s *Selector, e *fleet.Endpoint) {
 			s.ObserveEnded(now, &Request{}, Choice{Endpoint: e}, OutcomeRefused)
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -36,9 +36,9 @@
 	// meanwhile.
 	minRetryDelay = 150 * time.Millisecond
 	maxRetryDelay = 1500 * time.Millisecond
-	// endpointBatchDelay precedes each watch of the endpoints, so that one response
-	// returns several changes.
-	endpointBatchDelay = 150 * time.Millisecond
+	// batchDelay precedes each watch of the endpoints and the routers, so that one
+	// response returns several changes.
+	batchDelay = 150 * time.Millisecond
 	// watchStagger is the time between the timeouts of two routers' watches.
 	watchStagger = time.Second
 	// removedEndpointGrace is how long after a store outage endpoints stay in use
@@ -327,8 +327,8 @@
 }
 
 func (d *Directory) watchObjects(ctx context.Context, kind string, since uint64, timeout time.Duration) (uint64, error) {
-	if kind == platform.KindEndpoints {
-		wait.ForJittered(ctx, endpointBatchDelay)
+	if kind == platform.KindEndpoints || kind == KindRouters {
+		wait.ForJittered(ctx, batchDelay)
 	}
 	changes, revision, err := d.store.Watch(ctx, kind, since, timeout)
 	if err != nil {
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -42,6 +42,8 @@
 	case platform.KindConfiguration:
 		d.updateConfigurationLocked(source)
 	case platform.KindEndpoints, platform.KindPublishedWeightsVersions:
+	case KindRouters:
+		// Subscribers divide work between the routers.
 	default:
 		return
 	}
@@ -334,6 +336,24 @@
 	return out
 }
 
+// ZonePositionLocked returns this router's position, by name, among the registered
+// routers of its availability zone, and their number. The caller holds mu, so only
+// functions passed to Subscribe may call it.
+func (d *Directory) ZonePositionLocked() (position, routers int) {
+	routers = 1
+	for _, e := range d.replicas[KindRouters].LiveEntries() {
+		var r RouterSpec
+		if err := json.Unmarshal(e.Spec, &r); err != nil || r.Zone != d.node.Zone || e.Name == d.node.ID {
+			continue // An invalid entry is logged where the routers are listed.
+		}
+		routers++
+		if e.Name < d.node.ID {
+			position++
+		}
+	}
+	return position, routers
+}
+
 // OtherRouters returns the other registered routers by name.
 func (d *Directory) OtherRouters() map[string]RouterSpec {
 	d.mu.Lock()
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/arbutusline/arbutusline/decision/overload"
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/decision/strikes"
 	"github.com/arbutusline/arbutusline/fleet"
@@ -24,9 +25,15 @@
 	// maxRefusals is the highest number of refusals by endpoints after which a request
 	// is still retried.
 	maxRefusals = 3
-	// selectWaitDivisor divides the latency objective. The result is how long a
-	// request waits for an available endpoint before it is refused.
-	selectWaitDivisor = 8
+	// holdShare is the share of the latency objective for which a request waits at the
+	// router for an endpoint before it is refused.
+	holdShare = 0.125
+	// idleShare is the share of the latency objective up to which the queue of an
+	// engine counts as empty.
+	idleShare = 0.02
+	// maxRetryAfter is the longest Retry-After of a refusal because of overload. Bursts
+	// and the loss of endpoints last some seconds; callers may return several times.
+	maxRetryAfter = 2 * time.Second
 	// selectWaitAfterRun is how long a request that may have run waits for another
 	// endpoint. Such a request can no longer be refused. Callers disconnect from a
 	// stream after a pause of two seconds.
@@ -158,10 +165,15 @@
 		return
 	}
 	for {
-		choice, ok := x.waitForEndpoint(ctx)
-		if !ok {
+		choice, verdict := x.waitForEndpoint(ctx)
+		switch verdict {
+		case overload.Start:
+		case overload.Wait:
 			x.respondFailure(ctx, "no_endpoint")
 			return
+		default:
+			x.refuseOverload(choice, verdict)
+			return
 		}
 		x.attempts++
 		x.recordChoice(choice)
@@ -277,23 +289,24 @@
 	return d
 }
 
-// waitForEndpoint selects an endpoint. If none is available, it retries until the
-// wait limit of the request.
-func (x *execution) waitForEndpoint(ctx context.Context) (selection.Choice, bool) {
-	deadline := time.Now().Add(x.req.Route.LatencyObjective / selectWaitDivisor)
+// waitForEndpoint selects an endpoint. If none is available, or if overload control
+// holds the request back, it tries again until the wait limit of the request. It returns
+// overload.Wait if no endpoint is available or ctx has ended.
+func (x *execution) waitForEndpoint(ctx context.Context) (selection.Choice, overload.Verdict) {
+	waitingSince := time.Now()
+	limit := time.Duration(holdShare * float64(x.req.Route.LatencyObjective))
 	if x.mayHaveRunCount > 0 {
-		deadline = time.Now().Add(selectWaitAfterRun)
+		limit = selectWaitAfterRun
 	}
 	for ctx.Err() == nil {
-		if c, ok := x.selectEndpoint(); ok {
-			return c, true
-		}
-		if time.Now().After(deadline) {
-			return selection.Choice{}, false
+		held := time.Since(waitingSince)
+		c, verdict := x.selectEndpoint(held)
+		if verdict != overload.Wait || held > limit {
+			return c, verdict
 		}
 		wait.For(ctx, selectPollInterval)
 	}
-	return selection.Choice{}, false
+	return selection.Choice{}, overload.Wait
 }
 
 func (x *execution) selectionRequest() *selection.Request {
@@ -304,23 +317,32 @@
 	}
 }
 
-// selectEndpoint selects an endpoint and records that the request starts there.
-func (x *execution) selectEndpoint() (selection.Choice, bool) {
+// selectEndpoint selects an endpoint for a request that was held for the given time. If
+// overload control lets the request start, it records that the request starts there. It
+// returns overload.Wait if no endpoint is available.
+func (x *execution) selectEndpoint(held time.Duration) (selection.Choice, overload.Verdict) {
 	r := x.relay
 	v := r.directory.View()
 	request := x.selectionRequest()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c, ok := r.selector.Select(r.now(), time.Now(), v, request)
-	if ok {
+	if !ok {
+		return c, overload.Wait
+	}
+	verdict := overload.Start
+	if x.overloadControlled() {
+		verdict = r.overloadControllerLocked(x.req.Service).Decide(x.overloadRequest(held), estimateOf(c))
+	}
+	if verdict == overload.Start {
 		r.selector.ObserveStarted(r.now(), request, c)
 	}
-	return c, ok
+	return c, verdict
 }
 
 // runAttempt runs the request at the selected endpoint.
 func (x *execution) runAttempt(ctx context.Context, c selection.Choice) result {
-	a := &attempt{execution: x, choice: c, requestCtx: ctx}
+	a := &attempt{execution: x, choice: c, requestCtx: ctx, startedAt: time.Now()}
 	ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
 	x.relay.trackAttempt(a, true)
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/decision/budget"
+	"github.com/arbutusline/arbutusline/decision/overload"
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/decision/strikes"
 	"github.com/arbutusline/arbutusline/fleet"
@@ -75,6 +76,8 @@
 	// retryBudgets and loggedBudgets are keyed by service.
 	retryBudgets  map[string]*budget.RetryBudget
 	loggedBudgets map[string]loggedBudget
+	// overloadControllers is keyed by service.
+	overloadControllers map[string]*overload.Controller
 	// remoteLoads is keyed by router.
 	remoteLoads map[string]remoteLoad
 	// runningAttempts is keyed by endpoint ID.
@@ -103,7 +106,7 @@
 	r.log = k.Log.WithField("module", Name)
 	r.clockOrigin = time.Now()
 	r.crashReports, r.retryBudgets, r.remoteLoads = strikes.New(), map[string]*budget.RetryBudget{}, map[string]remoteLoad{}
-	r.loggedBudgets = map[string]loggedBudget{}
+	r.loggedBudgets, r.overloadControllers = map[string]loggedBudget{}, map[string]*overload.Controller{}
 	r.runningAttempts, r.fetchingStatus = map[string]map[*attempt]bool{}, map[string]bool{}
 	r.initContext()
 	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
@@ -184,8 +187,10 @@
 func (r *Relay) now() time.Duration { return time.Since(r.clockOrigin) }
 
 func (r *Relay) onViewChange(view *fleet.View) {
+	position, routers := r.directory.ZonePositionLocked()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.selector.SetRouters(position, routers)
 	r.selector.ForgetRemovedEndpoints(view)
 }
 
@@ -201,16 +206,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
+	r.selector.ReplaceRemoteLoads(r.remoteLoads[router].loads, loads)
 	r.remoteLoads[router] = remoteLoad{now, loads}
-	var all []selection.EndpointLoad
 	for name, l := range r.remoteLoads {
 		if now-l.receivedAt > remoteLoadLifetime {
+			r.selector.ReplaceRemoteLoads(l.loads, nil)
 			delete(r.remoteLoads, name)
-			continue
 		}
-		all = append(all, l.loads...)
 	}
-	r.selector.SetRemoteLoads(all)
 }
 
 // TakeNewParts returns the prompt parts that endpoints have computed or begun to
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -40,6 +40,7 @@
 	// silenceTimer calls onSilence. It is nil if the attempt has no time limit of
 	// its own.
 	silenceTimer *time.Timer
+	startedAt    time.Time
 	// prefillEndRecorded is true after recordPrefillEnded was called.
 	prefillEndRecorded bool
 }
@@ -229,6 +230,7 @@
 	a.prefillEndRecorded = true
 	a.relay.mu.Lock()
 	defer a.relay.mu.Unlock()
+	a.observeFirstEventLocked(computed)
 	a.relay.selector.ObservePrefillEnded(a.selectionRequest(), a.choice, computed)
 }
 
