Call routers mostly within the zone, ask one call for a replica, prefer endpoints more

Cause: with 68 routers each one heard another's loads every 1.3 s, later than requests last, and every call asked for every replica, so that a new configuration of 900 routes was sent to a slow router up to three times at once, with a time limit of 400 ms.

Change: package peering chooses the calls, two thirds within the zone, and lets one call at a time ask for a replica, with 1.5 s for its copy. New parts stay at the endpoints that rendezvous hashing prefers unless these have 0.4 and 2 s more work, and recomputing a shared part costs 12 times its time.

--- a/decision/selection/parts.go
+++ b/decision/selection/parts.go
@@ -14,8 +14,8 @@
 	// lower than that. They let all routers choose the same endpoint for a new part,
 	// unless that endpoint has much more work than others. The parts' own recompute
 	// cost bounds them, so that a short prompt does not queue behind a long one.
-	secondPreferredCost = 200 * time.Millisecond
-	notPreferredCost    = 600 * time.Millisecond
+	secondPreferredCost = 400 * time.Millisecond
+	notPreferredCost    = 2000 * time.Millisecond
 )
 
 // maxHolderUpdates is the maximum number of holder updates that wait to be sent to
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -21,6 +21,7 @@
 
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/api/arbutuspb"
+	"github.com/arbutusline/arbutusline/decision/peering"
 	"github.com/arbutusline/arbutusline/modules/admin"
 	"github.com/arbutusline/arbutusline/modules/directory"
 	"github.com/arbutusline/arbutusline/modules/grpcserver"
@@ -35,6 +36,10 @@
 const (
 	// callTimeout is several hundred round trips within a region.
 	callTimeout = 400 * time.Millisecond
+	// pullTimeout is the timeout of a call that asks for changes of replicas. The largest
+	// configurations take a router with 20 Mbit/s and a seventh of a core several hundred
+	// milliseconds.
+	pullTimeout = 1500 * time.Millisecond
 	// failuresBeforeRedial is the number of consecutive failed calls after which the
 	// connection is replaced, because it may be dead.
 	failuresBeforeRedial = 3
@@ -88,6 +93,7 @@
 	directory  *directory.Directory
 	relay      *relay.Relay
 	ownAddress string
+	startTime  time.Time
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 	// callAllNow starts a round that calls all routers.
@@ -100,13 +106,17 @@
 	announcedWeightsChanges []*announcedWeightsChange
 	cachedParts             []*cachedParts
 	round                   int
+	// pulls limits the calls that ask for changes of replicas.
+	pulls *peering.Pulls
 
 	calls *prometheus.CounterVec
 }
 
 // peer is another router and the state of the calls to it.
 type peer struct {
-	address             string
+	address string
+	// zone is the availability zone that the router registered, or empty.
+	zone                string
 	conn                *grpc.ClientConn
 	consecutiveFailures int
 	// lastResponseAt is when the peer last responded or, if it never has, when it was
@@ -140,7 +150,8 @@
 // Provision looks up the modules that Exchange uses and registers the gRPC service.
 func (x *Exchange) Provision(k *arbutusline.Kernel) error {
 	x.log = k.Log.WithField("module", Name)
-	x.peers, x.callAllNow = map[string]*peer{}, make(chan struct{}, 1)
+	x.peers, x.callAllNow, x.pulls = map[string]*peer{}, make(chan struct{}, 1), peering.NewPulls()
+	x.startTime = time.Now()
 	server, err := arbutusline.Lookup[*grpcserver.Server](k, grpcserver.Name)
 	if err != nil {
 		return err
@@ -245,7 +256,8 @@
 }
 
 // choosePeers adds newly registered routers and removes those that no longer respond.
-// It returns the routers to call in this round: all, or Fanout random ones.
+// It returns the routers to call in this round: all, or Fanout of them, most of these in
+// this router's availability zone.
 func (x *Exchange) choosePeers(all bool) []*peer {
 	routers := x.directory.OtherRouters()
 	x.mu.Lock()
@@ -255,13 +267,16 @@
 	for _, r := range routers {
 		registered[r.Address] = true
 		x.addPeerLocked(r.Address)
+		if p := x.peers[r.Address]; p != nil {
+			p.zone = r.Zone
+		}
 	}
 	if x.round%roundsPerSeedRetry == 1 {
 		for _, address := range x.Seeds {
 			x.addPeerLocked(address)
 		}
 	}
-	var ready []*peer
+	var ready []peering.Candidate
 	for address, p := range x.peers {
 		if time.Since(p.lastResponseAt) > peerForgetTimeout && !registered[address] {
 			p.close()
@@ -269,18 +284,20 @@
 			continue
 		}
 		if !p.callInProgress {
-			ready = append(ready, p)
+			ready = append(ready, peering.Candidate{Address: address, SameZone: p.zone == x.node.Zone})
 		}
 	}
 	x.directory.SetWatchRank(x.watchRankLocked())
-	rand.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
 	if !all {
-		ready = ready[:min(len(ready), x.Fanout)]
+		ready = peering.Choose(ready, x.Fanout, rand.Shuffle)
 	}
-	for _, p := range ready {
+	chosen := make([]*peer, 0, len(ready))
+	for _, c := range ready {
+		p := x.peers[c.Address]
 		p.callInProgress = true
+		chosen = append(chosen, p)
 	}
-	return ready
+	return chosen
 }
 
 // Peers returns the other routers, ordered by address.
@@ -326,9 +343,15 @@
 	conn, err := x.connect(p)
 	var response *arbutuspb.RouterState
 	if err == nil {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		kinds, endPulls := x.beginPulls()
+		defer endPulls()
+		timeout := callTimeout
+		if len(kinds) > 0 {
+			timeout = pullTimeout
+		}
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		response, err = arbutuspb.NewRouterClient(conn).Exchange(ctx, x.buildState(nil))
+		response, err = arbutuspb.NewRouterClient(conn).Exchange(ctx, x.buildState(nil, kinds))
 	}
 	x.recordCall(p, err)
 	if err == nil {
@@ -336,6 +359,27 @@
 	}
 }
 
+// beginPulls returns the positions of the replicas for which the next call asks, and a
+// function to call after the changes have been applied.
+func (x *Exchange) beginPulls() ([]directory.ReplicaRevision, func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.Since(x.startTime)
+	var pulled []directory.ReplicaRevision
+	for _, r := range x.directory.ReplicaRevisions() {
+		if x.pulls.Begin(now, r.Kind) {
+			pulled = append(pulled, r)
+		}
+	}
+	return pulled, func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		for _, r := range pulled {
+			x.pulls.End(r.Kind, now)
+		}
+	}
+}
+
 // connect returns the connection to a peer and creates it if there is none.
 func (x *Exchange) connect(p *peer) (*grpc.ClientConn, error) {
 	x.mu.Lock()
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -9,6 +9,7 @@
 	"github.com/arbutusline/arbutusline/decision/replica"
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/decision/strikes"
+	"github.com/arbutusline/arbutusline/modules/directory"
 )
 
 // Exchange applies the state of another router and returns the state of this one.
@@ -17,14 +18,14 @@
 	x.addPeerLocked(in.GetAddress())
 	x.mu.Unlock()
 	x.applyState(in)
-	return x.buildState(in), nil
+	return x.buildState(in, x.directory.ReplicaRevisions()), nil
 }
 
-// buildState returns the state to send to another router. In a response, in is the
-// state that the caller sent; in a call it is nil.
-func (x *Exchange) buildState(in *arbutuspb.RouterState) *arbutuspb.RouterState {
+// buildState returns the state to send to another router, with the positions of the given
+// replicas. In a response, in is the state that the caller sent; in a call it is nil.
+func (x *Exchange) buildState(in *arbutuspb.RouterState, positions []directory.ReplicaRevision) *arbutuspb.RouterState {
 	out := &arbutuspb.RouterState{Name: x.node.ID, Address: x.ownAddress, StoreLost: x.directory.StoreUnreachable()}
-	for _, p := range x.directory.ReplicaRevisions() {
+	for _, p := range positions {
 		out.Positions = append(out.Positions, &arbutuspb.CopyPosition{Kind: p.Kind, Revision: p.Revision})
 	}
 	for _, l := range x.relay.Loads() {
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -139,7 +139,7 @@
 const (
 	// recomputeFactor multiplies the cost of computing shared parts that an endpoint
 	// has not cached, because that also delays the requests queued at the endpoint.
-	recomputeFactor = 4
+	recomputeFactor = 12
 	// fetchTokensPerMS is half the transfer rate of an engine's link, because
 	// transfers may queue behind others or cross availability zones.
 	fetchTokensPerMS = 120
