--- a/modules/cacheevents/cacheevents.go
+++ b/modules/cacheevents/cacheevents.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -44,6 +45,11 @@
 	// store. An engine accepts about a dozen requests for cache events at the same
 	// time.
 	routersPerSource = 5
+	// startSpread is the time after the start over which a router begins to follow its
+	// sources. The first response of a source has up to 4,000 events; decoding those of
+	// nine sources takes a router with a seventh of a core most of a second, in which it
+	// would miss new configurations.
+	startSpread = 4 * time.Second
 	// maxResponseBytes is the maximum size of a response.
 	maxResponseBytes = 4 << 20
 )
@@ -68,6 +74,7 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
+	startTime  time.Time
 
 	mu sync.Mutex
 	// stopFollowing maps the ID of each followed source to the function that ends its
@@ -106,6 +113,7 @@
 	}, []string{"result"})
 	a.Registry().MustRegister(c.eventCounter)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.startTime = time.Now()
 	c.directory.Subscribe(c.updateFollowedSources)
 	return nil
 }
@@ -191,6 +199,9 @@
 
 func (c *CacheEvents) follow(ctx context.Context, s eventSource) {
 	var bootEpoch, nextSequence uint64
+	if time.Since(c.startTime) < startSpread {
+		wait.For(ctx, rand.N(startSpread))
+	}
 	for ctx.Err() == nil {
 		response, err := c.fetchEvents(ctx, s, nextSequence)
 		if err != nil {
