Derive a router's share of an endpoint's connections from the routers seen

Cause, by reading: every router could open half of an endpoint's connections, whatever the number of routers, and a limit of 1 counted as none. The count of routers was also taken by decoding all their records for each attempt.

Change: twice the even share, at most half, at least two; the directory counts the routers when their list changes.

--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -96,6 +96,8 @@
 	// storeUnreachable is true from the first failed list or watch until the next
 	// successful list.
 	storeUnreachable atomic.Bool
+	// routerCount is the number of registered routers, or 0 before the first list.
+	routerCount atomic.Int64
 	// storeReachableSince is when the last outage of the store ended.
 	storeReachableSince time.Time
 	subscribers         []func(*fleet.View)
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -44,6 +44,7 @@
 	case platform.KindEndpoints, platform.KindPublishedWeightsVersions:
 	case KindRouters:
 		// Subscribers divide work between the routers.
+		d.routerCount.Store(int64(len(d.OtherRouterNamesLocked()) + 1))
 	default:
 		return
 	}
@@ -354,6 +355,9 @@
 	return position, routers
 }
 
+// RouterCount returns the number of registered routers, with this one. It takes no lock.
+func (d *Directory) RouterCount() int { return int(max(1, d.routerCount.Load())) }
+
 // OtherRouters returns the other registered routers by name.
 func (d *Directory) OtherRouters() map[string]RouterSpec {
 	d.mu.Lock()
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -54,9 +54,11 @@
 	// may drop an idle connection without notice, and a request sent on it then
 	// counts as one that may have run.
 	maxIdleTimeNonRepeatable = time.Second
-	// connectionLimitDivisor divides an endpoint's connection limit between the two
-	// routers of a deployment.
-	connectionLimitDivisor = 2
+	// connectionShareFactor multiplies a router's even share of an endpoint's connection
+	// limit, because routers use endpoints unevenly, and maxConnectionShare bounds the
+	// result. Few routers use the same endpoint to that extent.
+	connectionShareFactor = 2
+	maxConnectionShare    = 0.5
 )
 
 // resultKind is how an attempt ended.
@@ -378,11 +380,24 @@
 		r.MaxIdleTime = maxIdleTimeNonRepeatable
 	}
 	if s := x.relay.directory.View().Config.Services[x.req.Service]; s != nil {
-		r.MaxConnections = s.MaxConnections / connectionLimitDivisor
+		r.MaxConnections = connectionLimit(s.MaxConnections, x.relay.directory.RouterCount())
 	}
 	return r
 }
 
+// connectionLimit returns how many connections one of the routers may open to an
+// endpoint, or 0 if the endpoint states no limit.
+func connectionLimit(endpointLimit, routers int) int {
+	if endpointLimit <= 0 {
+		return 0
+	}
+	share := min(connectionShareFactor/float64(routers), maxConnectionShare) * float64(endpointLimit)
+	return max(minConnections, int(share))
+}
+
+// minConnections lets a router use an endpoint in any deployment.
+const minConnections = 2
+
 // respondFailure ends a request that cannot be completed and, if nothing was sent yet,
 // responds to the caller.
 func (x *execution) respondFailure(ctx context.Context, reason string) {
--- a/modules/relay/overload.go
+++ b/modules/relay/overload.go
@@ -39,7 +39,7 @@
 func (x *execution) refuseOverload(choice selection.Choice, verdict overload.Verdict) {
 	r := x.relay
 	request, estimate := x.overloadRequest(0), estimateOf(choice)
-	routers := len(r.directory.OtherRouters()) + 1
+	routers := r.directory.RouterCount()
 	r.mu.Lock()
 	c := r.overloadControllerLocked(x.req.Service)
 	concurrency := float64(len(r.directory.View().EndpointsByService[x.req.Service])) / float64(routers)
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -277,7 +277,7 @@
 // ObserveWeightsChangeSoon stops sending long requests to an endpoint that changes its
 // weights next, and moves its streams to other endpoints if possible.
 func (r *Relay) ObserveWeightsChangeSoon(endpoint, model string, version uint64) {
-	routers := len(r.directory.OtherRouters()) + 1
+	routers := r.directory.RouterCount()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.selector.ObserveWeightsChangeSoon(r.now(), endpoint, model, version) {
@@ -288,7 +288,7 @@
 // ObserveWeightsChangeStarted stops sending requests to an endpoint that is about to
 // change its weights, and moves its streams to other endpoints if possible.
 func (r *Relay) ObserveWeightsChangeStarted(endpoint, model string, version uint64) {
-	routers := len(r.directory.OtherRouters()) + 1
+	routers := r.directory.RouterCount()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.selector.ObserveWeightsChangeStarted(r.now(), endpoint, model, version) {
@@ -363,7 +363,7 @@
 // allowRetry charges the service's retry budget for one retry and reports whether the
 // budget allows it.
 func (r *Relay) allowRetry(service string) bool {
-	routers := len(r.directory.OtherRouters()) + 1
+	routers := r.directory.RouterCount()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.retryBudgetLocked(service, routers)
