Bound the head of an endpoint's response

Cause: net/http reads a status line and headers of any length, so an endpoint that sends bytes without end where a head is due filled the router's memory until the request's deadline: at 1 Gbit/s more than a gigabyte, on hosts with 112 to 536 MB. The new test saw heads of 4 MB accepted (status line, header, headers); chunk extensions, trailers, interim responses and events were bounded before.

Change: the connection's reader fails once 64 KiB were read for one head. The request then counts as one that may have run, the connection is closed and the endpoint charged, as for every other invalid response.

--- a/modules/upstream/conn.go
+++ b/modules/upstream/conn.go
@@ -44,6 +44,7 @@
 	client      *Client
 	address     string
 	netConn     net.Conn
+	limiter     *headLimiter
 	reader      *bufio.Reader
 	idleSince   time.Time
 	maxIdleTime time.Duration
@@ -56,11 +57,37 @@
 }
 
 func newConn(c *Client, address string, nc net.Conn) *conn {
+	limiter := &headLimiter{reader: nc}
 	return &conn{
-		client: c, address: address, netConn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), maxIdleTime: c.MaxIdleTime.AsDuration(),
+		client: c, address: address, netConn: nc, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
+		maxIdleTime: c.MaxIdleTime.AsDuration(),
 	}
 }
 
+// headLimiter reads from a connection and fails while a head is read that exceeds its
+// limit.
+type headLimiter struct {
+	reader io.Reader
+	// limited is true while a head is read, and remaining the number of bytes that may
+	// still be read for it.
+	limited   bool
+	remaining int
+}
+
+var errHeadTooLong = errors.Newf("head of the response exceeds %d bytes", maxHeadBytes)
+
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.reader.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // closeOnContextEnd closes the connection when ctx ends, unless stopWatchingContext is
 // called before.
 func (cn *conn) closeOnContextEnd(ctx context.Context) {
@@ -114,7 +141,9 @@
 		go cn.writeRequest(head, r.Body)
 	}
 	for range maxMismatchedResponses {
+		cn.limiter.limited, cn.limiter.remaining = true, maxHeadBytes
 		response, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
+		cn.limiter.limited = false
 		if err != nil {
 			return nil, err
 		}
--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -42,6 +42,9 @@
 	// maxMismatchedBodyBytes bounds the body of a response to another request.
 	maxMismatchedBodyBytes = 64 << 10
 	readBufferBytes        = 4 << 10
+	// maxHeadBytes bounds the head of a response, with the bytes of the body that are read
+	// along with it. Bytes that are no response may come without end.
+	maxHeadBytes = 64 << 10
 )
 
 func init() {
