--- a/decision/peering/peering_test.go
+++ b/decision/peering/peering_test.go
@@ -1,8 +1,8 @@
 package peering
 
 import (
-	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -18,13 +18,21 @@
 	return out
 }
 
-func candidatesOf(self int, zones []int) []Candidate {
-	var out []Candidate
+// candidatesOf appends the other routers to list. Their addresses are their positions.
+func candidatesOf(list []Candidate, self int, zones []int, addresses []string) []Candidate {
 	for i, zone := range zones {
 		if i != self {
-			out = append(out, Candidate{fmt.Sprint(i), zone == zones[self]})
+			list = append(list, Candidate{addresses[i], zone == zones[self]})
 		}
 	}
+	return list
+}
+
+func addressesOf(zones []int) []string {
+	var out []string
+	for i := range zones {
+		out = append(out, strconv.Itoa(i))
+	}
 	return out
 }
 
@@ -35,7 +43,7 @@
 	for _, c := range []struct{ zones, perZone, fanout, local int }{{6, 11, 3, 2}, {4, 1, 3, 0}, {1, 5, 3, 3}, {2, 2, 3, 1}, {1, 2, 3, 1}} {
 		for range 100 {
 			zones := deployment(c.zones, c.perZone)
-			chosen := Choose(candidatesOf(0, zones), c.fanout, rng.Shuffle)
+			chosen := Choose(candidatesOf(nil, 0, zones, addressesOf(zones)), c.fanout, rng.Shuffle)
 			assert.Equal(t, len(chosen), min(c.fanout, len(zones)-1))
 			local, seen := 0, map[string]bool{}
 			for _, p := range chosen {
@@ -67,15 +75,16 @@
 				known[i*len(zones)/watchers] = true
 			}
 			rounds, missing := 0, len(zones)-watchers
+			addresses, candidates := addressesOf(zones), []Candidate(nil)
 			for ; missing > 0; rounds++ {
 				next := append([]bool(nil), known...)
 				for i := range zones {
 					if known[i] {
 						continue
 					}
-					chosen := Choose(candidatesOf(i, zones), fanout, rng.Shuffle)
-					var from int
-					_, err := fmt.Sscan(chosen[rng.IntN(len(chosen))].Address, &from)
+					candidates = candidatesOf(candidates[:0], i, zones, addresses)
+					chosen := Choose(candidates, fanout, rng.Shuffle)
+					from, err := strconv.Atoi(chosen[rng.IntN(len(chosen))].Address)
 					assert.NilError(t, err)
 					if known[from] {
 						next[i] = true
