Keep plain requests and zones with one endpoint out of the aperture

Cause, found when reading the change: a plain service with one endpoint in a router's zone had an aperture of that endpoint alone. All requests of the zone went there, whatever its failures, until it was full; for work that may not be repeated that is the only attempt.

Change: only requests to engines prefer the aperture, and a zone with fewer than two endpoints does not limit it. Both tests fail without the change.

--- a/decision/selection/aperture.go
+++ b/decision/selection/aperture.go
@@ -34,7 +34,7 @@
 }
 
 // fillAperture chooses the aperture among the candidates of the router's own availability
-// zone, or among all candidates if it has none.
+// zone, or among all candidates if it has too few.
 func (p *pool) fillAperture(zone string, position, routers int) {
 	p.aperture = p.aperture[:0]
 	for i, c := range p.candidates {
@@ -42,7 +42,8 @@
 			p.aperture = append(p.aperture, i)
 		}
 	}
-	if len(p.aperture) == 0 {
+	if len(p.aperture) < minApertureEndpoints {
+		p.aperture = p.aperture[:0]
 		for i := range p.candidates {
 			p.aperture = append(p.aperture, i)
 		}
@@ -64,9 +65,10 @@
 }
 
 // considerAperture considers the endpoints of the aperture if the request prefers them,
-// and reports whether one of them should run it.
+// and reports whether one of them should run it. Plain requests do not prefer them: their
+// services have few endpoints, and one that fails must be compared with all others.
 func (d *decision) considerAperture() bool {
-	if d.recomputeCost(d.sharedTokens) > maxApertureRecompute {
+	if d.request.Prompt == nil || d.recomputeCost(d.sharedTokens) > maxApertureRecompute {
 		return false
 	}
 	for _, i := range d.pool.aperture {
--- a/decision/selection/aperture_test.go
+++ b/decision/selection/aperture_test.go
@@ -1,7 +1,6 @@
 package selection
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -80,9 +79,30 @@
 	}
 }
 
-// Guards against a router whose availability zone has no endpoint.
-func TestApertureWithoutLocalEndpoints(t *testing.T) {
-	v, s := newView(4, 1), New(testConfig(), "elsewhere")
-	s.SetRouters(1, 2)
-	assert.Equal(t, fmt.Sprint(len(s.pool(v, newShortRequest(1)).aperture)), "2")
+// Guards against a router whose availability zone has no endpoint or just one, which
+// would get all requests even if it fails.
+func TestApertureWithFewLocalEndpoints(t *testing.T) {
+	for local := range 2 {
+		v, s := newView(4, 1), New(testConfig(), "here")
+		for i := range local {
+			v.EndpointsByService["llm"][i].Zone = "here"
+		}
+		s.SetRouters(1, 2)
+		assert.Equal(t, len(s.pool(v, newShortRequest(1)).aperture), 2, "%d local endpoints", local)
+	}
+}
+
+// Guards against plain requests that stay at a failing endpoint because it is the nearest
+// one.
+func TestPlainRequestsLeaveAFailingEndpoint(t *testing.T) {
+	v, s := newView(3, 1), New(testConfig(), "here")
+	near := v.EndpointsByService["llm"][0]
+	near.Zone = "here"
+	s.SetRouters(0, 5)
+	r := &Request{Service: "llm"}
+	assert.Equal(t, mustSelect(t, s, 0, v, r).Endpoint.ID, near.ID)
+	for range 5 {
+		s.ObserveEnded(0, r, Choice{Endpoint: near}, OutcomeErrorResponse)
+	}
+	assert.Assert(t, mustSelect(t, s, 0, v, r).Endpoint.ID != near.ID)
 }
