--- a/modules/cacheevents/cacheevents.go
+++ b/modules/cacheevents/cacheevents.go
@@ -46,9 +46,8 @@
 	// time.
 	routersPerSource = 5
 	// startSpread is the time after the start over which a router begins to follow its
-	// sources. The first response of a source has up to 4,000 events; decoding those of
-	// nine sources takes a router with a seventh of a core most of a second, in which it
-	// would miss new configurations.
+	// sources. The first response of a source has up to 4,000 events, and a small router
+	// that has just started must not fall behind with new configurations.
 	startSpread = 4 * time.Second
 	// maxResponseBytes is the maximum size of a response.
 	maxResponseBytes = 4 << 20
