Start nothing on superseded weights near the deadline, also when nothing newer is loaded

Cause: the limit for old weights was relative. An endpoint counted as expired only while another one had newer weights. The ordering router was frozen from 5.8 to 9.8 s and the first engine had version 3 at 13.2 s, so until then every engine with version 2 counted as current, and all traffic went to the few that had it.

Change: `weights_deadline` (8 s; the platform's version_ms) is absolute. A request starts on superseded weights only where its own prompt and twice the expected wait end a second before it; otherwise it is refused with the reason weights_expired before it has run. TestExpiredWeightsAreRefused asserted that such starts are allowed while no endpoint has newer weights, 7 s after the publication; that assertion was wrong. It keeps its point at 6.6 s, and TestNoRequestBeginsOnSupersededWeightsAfterTheDeadline holds the deadline for both cases.

Before: the test fails (a request starts 6.5 s after the publication behind 20,000 pending tokens). After: passes.

--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -32,6 +32,10 @@
 	// OldWeightsLimit is the time after which requests should not start on a
 	// superseded weights version.
 	OldWeightsLimit time.Duration
+	// WeightsDeadline is the time after the publication of a weights version from
+	// which no request may begin on an older one, even if no endpoint has loaded the
+	// new one.
+	WeightsDeadline time.Duration
 	// FailureCost is the cost of an endpoint with a failure rate of 1.
 	FailureCost time.Duration
 	// ServiceTime is the assumed processing time of a request to a plain service.
@@ -60,9 +64,9 @@
 	// that endpoint changes its weights. The request then runs to its end at its
 	// new endpoint.
 	MovedForWeightsChange bool
-	// AllowExpiredWeights allows an endpoint with weights past OldWeightsLimit even
-	// if others have newer ones. It is set while the platform's store is
-	// unavailable, as the change to the new weights may then take long.
+	// AllowExpiredWeights allows an endpoint with weights past OldWeightsLimit and
+	// WeightsDeadline. It is set while the platform's store is unavailable, as the
+	// change to the new weights may then take long.
 	AllowExpiredWeights bool
 	// Repeatable requests may run more than once. They may therefore be the first
 	// request to an endpoint after its suspension.
@@ -98,6 +102,9 @@
 	// without missing parts are not saved: a save also stores the prompt's last part,
 	// which evicts parts that other prompts use.
 	SaveTo string
+	// WeightsExpired means that no endpoint was selected although some could run the
+	// request, because their weights were superseded too long ago.
+	WeightsExpired bool
 }
 
 // Selector selects endpoints by what the router has observed of them.
@@ -147,11 +154,13 @@
 	}
 }
 
-// SetOldWeightsLimit replaces Config.OldWeightsLimit.
-func (s *Selector) SetOldWeightsLimit(limit time.Duration) { s.cfg.OldWeightsLimit = limit }
+// SetWeightsLimits replaces Config.OldWeightsLimit and Config.WeightsDeadline.
+func (s *Selector) SetWeightsLimits(oldWeightsLimit, weightsDeadline time.Duration) {
+	s.cfg.OldWeightsLimit, s.cfg.WeightsDeadline = oldWeightsLimit, weightsDeadline
+}
 
 // Select returns the cheapest endpoint of the request's service, or false when none
-// may run the request. Now is the time since an arbitrary origin. Wall is the current
+// may run the request; the choice then has only WeightsExpired. Now is the time since an arbitrary origin. Wall is the current
 // time on the clock of View.PublishedWeightsVersions.
 func (s *Selector) Select(now time.Duration, wall time.Time, v *fleet.View, r *Request) (Choice, bool) {
 	d := decision{Selector: s, now: now, wall: wall, request: r, isLong: r.IsLong(), pool: s.pool(v, r), bestIndex: -1}
@@ -167,7 +176,7 @@
 		}
 	}
 	if d.bestIndex < 0 {
-		return Choice{}, false
+		return Choice{WeightsExpired: d.weightsExpiredSeen}, false
 	}
 	choice := d.result()
 	if r.Prompt != nil && s.kvCacheStore != "" && choice.CachedTokens < d.sharedTokens && s.storeCoverage(choice.WeightsVersion).tokens < d.sharedTokens {
@@ -194,6 +203,8 @@
 	// bestIndex is the position of the cheapest candidate so far, or -1.
 	bestIndex int
 	bestCost  time.Duration
+	// weightsExpiredSeen is true if a candidate was left out only for its weights.
+	weightsExpiredSeen bool
 }
 
 // findHolders finds the endpoints that hold parts of the prompt.
@@ -269,10 +280,26 @@
 // weightsExpired reports whether the candidate's weights will have been superseded for
 // too long when it starts the request.
 func (d *decision) weightsExpired(c *candidate) bool {
-	return c.weightsVersion < d.pool.newestLoadedVersion && c.superseded && !d.request.AllowExpiredWeights &&
-		d.wall.Sub(c.supersededAt)+d.queueTime(c.state) > d.cfg.OldWeightsLimit+expiredWeightsTolerance
+	if !c.superseded || d.request.AllowExpiredWeights || d.request.Prompt == nil {
+		return false
+	}
+	age, wait := d.wall.Sub(c.supersededAt), d.queueTime(c.state)
+	if c.weightsVersion < d.pool.newestLoadedVersion && age+wait > d.cfg.OldWeightsLimit+expiredWeightsTolerance {
+		return true
+	}
+	return age+expiredWaitFactor*wait+d.prefillTime(d.request.Prompt.Tokens)+beginMargin > d.cfg.WeightsDeadline
 }
 
+const (
+	// expiredWaitFactor multiplies the expected wait at an endpoint whose weights
+	// expire, because the estimate leaves out running requests and a full KV memory.
+	expiredWaitFactor = 2
+	// beginMargin is the time before WeightsDeadline by which a request is expected to
+	// begin. It covers the delay with which routers learn of a publication and the
+	// error of the expected prefill time.
+	beginMargin = time.Second
+)
+
 // expiredWeightsTolerance is how long after their limit weights may still be used when
 // all other endpoints are busy.
 const expiredWeightsTolerance = 1500 * time.Millisecond
@@ -282,7 +309,17 @@
 func (d *decision) usable(c *candidate) bool {
 	st := c.state
 	return !st.full(c.endpoint) && d.now >= st.refusalBackoffUntil && (st.weightsChange.version == 0 || !st.changingWeights(d.now, c.endpoint) && !(d.isLong && st.changingWeightsSoon(d.now, c.endpoint))) &&
-		!d.weightsExpired(c) && (len(d.request.Exclude) == 0 || !slices.Contains(d.request.Exclude, c.endpoint.ID))
+		(len(d.request.Exclude) == 0 || !slices.Contains(d.request.Exclude, c.endpoint.ID)) && !d.expired(c)
+}
+
+// expired is weightsExpired and records that it held for a candidate that is otherwise
+// usable.
+func (d *decision) expired(c *candidate) bool {
+	if !d.weightsExpired(c) {
+		return false
+	}
+	d.weightsExpiredSeen = true
+	return true
 }
 
 // loadCost is the part of the cost that does not depend on the prompt.
--- a/decision/selection/selection_test.go
+++ b/decision/selection/selection_test.go
@@ -20,8 +20,8 @@
 	return Config{
 		PrefillTokensPerMS: 40, FetchTokensPerMS: 120, RecomputeFactor: 4, RunningRequestCost: 300 * time.Microsecond,
 		CrossZoneCost: 3 * time.Millisecond, OldWeightsCost: 80 * time.Millisecond, OldWeightsGrace: time.Second,
-		OldWeightsLimit: 5 * time.Second, FailureCost: 500 * time.Millisecond, ServiceTime: 30 * time.Millisecond,
-		HolderLifetime: time.Minute, MaxParts: 1000,
+		OldWeightsLimit: 5 * time.Second, WeightsDeadline: 8 * time.Second, FailureCost: 500 * time.Millisecond,
+		ServiceTime: 30 * time.Millisecond, HolderLifetime: time.Minute, MaxParts: 1000,
 	}
 }
 
@@ -279,11 +279,11 @@
 }
 
 // Guards against requests that start on expired weights because the endpoint with the
-// new ones is unavailable. Requests may start on expired weights while no endpoint has
-// the new ones, and while the platform's store is unavailable.
+// new ones is unavailable. Requests may start on them while the platform's store is
+// unavailable.
 func TestExpiredWeightsAreRefused(t *testing.T) {
 	v, s := newView(2, 1), New(testConfig(), "a")
-	v.PublishedWeightsVersions[testModel] = []fleet.PublishedWeightsVersion{{Version: 2, PublishedAt: wall.Add(-7 * time.Second)}}
+	v.PublishedWeightsVersions[testModel] = []fleet.PublishedWeightsVersion{{Version: 2, PublishedAt: wall.Add(-6600 * time.Millisecond)}}
 	r := newRequest(1, 2)
 	mustSelect(t, s, 0, v, r)
 	v.EndpointsByID["e1"].WeightsVersions = map[string]uint64{testModel: 2}
@@ -295,6 +295,32 @@
 	assert.Equal(t, mustSelect(t, s, 0, v, r).Endpoint.ID, "e0")
 }
 
+// Guards against requests that begin on superseded weights after the deadline because
+// no endpoint has loaded newer ones: the router that orders them was frozen for 4 s, and
+// requests of 9,000 tokens were sent 7.3 s after the publication and began after 8.1 s.
+func TestNoRequestBeginsOnSupersededWeightsAfterTheDeadline(t *testing.T) {
+	for _, c := range []struct {
+		age     time.Duration
+		pending int
+		allowed bool
+	}{
+		{6500 * time.Millisecond, 0, true},
+		{6500 * time.Millisecond, 20000, false}, // 0.5 s of prompts are queued.
+		{7300 * time.Millisecond, 0, false},
+		{9 * time.Second, 0, false},
+	} {
+		v, s := newView(1, 1), New(testConfig(), "a")
+		v.PublishedWeightsVersions[testModel] = []fleet.PublishedWeightsVersion{{Version: 2, PublishedAt: wall.Add(-c.age)}}
+		s.ReplaceRemoteLoads(nil, []EndpointLoad{{EndpointID: "e0", Running: 1, PendingPrefillTokens: c.pending}})
+		r := newRequest(1, 2)
+		choice, ok := s.Select(0, wall, v, r)
+		assert.Equal(t, ok, c.allowed, "%+v", c)
+		assert.Equal(t, choice.WeightsExpired, !c.allowed, "%+v", c)
+		r.AllowExpiredWeights = true
+		mustSelect(t, s, 0, v, r)
+	}
+}
+
 // Select runs for each request. Its time must stay within a few microseconds for a
 // large number of endpoints.
 func BenchmarkSelect(b *testing.B) {
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -171,7 +171,7 @@
 		switch verdict {
 		case overload.Start:
 		case overload.Wait:
-			x.respondFailure(ctx, "no_endpoint")
+			x.respondFailure(ctx, unavailableReason(choice))
 			return
 		default:
 			x.refuseOverload(choice, verdict)
@@ -196,6 +196,14 @@
 	}
 }
 
+// unavailableReason returns why no endpoint was selected.
+func unavailableReason(c selection.Choice) string {
+	if c.WeightsExpired {
+		return "weights_expired"
+	}
+	return "no_endpoint"
+}
+
 // recordChoice copies a choice into the report.
 func (x *execution) recordChoice(c selection.Choice) {
 	x.report.Attempts, x.report.EndpointID = x.attempts, c.Endpoint.ID
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -35,6 +35,7 @@
 		return &Relay{
 			PrefillTokensPerMS: 40, RetryRatio: 0.2, RetrySlack: 56,
 			RetryWindow: settings.Duration(budget.RetryWindow), OldWeightsLimit: settings.Duration(5 * time.Second),
+			WeightsDeadline: settings.Duration(8 * time.Second),
 		}
 	})
 }
@@ -55,6 +56,10 @@
 	// requests may be sent to an engine with an older version although an engine
 	// with the new one is available. Default 5s.
 	OldWeightsLimit settings.Duration `json:"old_weights_limit"`
+	// WeightsDeadline is the time after the publication of a new weights version from
+	// which no request begins on an older one, even if no engine has loaded the new
+	// one, unless the store is unreachable. Default 8s.
+	WeightsDeadline settings.Duration `json:"weights_deadline"`
 
 	log       *logrus.Entry
 	directory *directory.Directory
@@ -129,7 +134,7 @@
 		PrefillTokensPerMS: r.PrefillTokensPerMS, FetchTokensPerMS: fetchTokensPerMS, RecomputeFactor: recomputeFactor,
 		RunningRequestCost: runningRequestCost, CrossZoneCost: crossZoneCost,
 		OldWeightsCost: oldWeightsCost, OldWeightsGrace: oldWeightsGrace, OldWeightsLimit: r.OldWeightsLimit.AsDuration(),
-		FailureCost: failureCost,
+		WeightsDeadline: r.WeightsDeadline.AsDuration(), FailureCost: failureCost,
 		ServiceTime: serviceTime, HolderLifetime: holderLifetime, MaxParts: maxParts,
 	}, r.zone)
 	r.directory.Subscribe(r.onViewChange)
@@ -168,19 +173,22 @@
 	if r.PrefillTokensPerMS <= 0 || r.RetryRatio < 0 || r.RetrySlack < 0 {
 		return errors.New("prefill_tokens_per_ms must be positive, retry_ratio and retry_slack not negative")
 	}
+	if r.OldWeightsLimit <= 0 || r.WeightsDeadline <= 0 {
+		return errors.New("old_weights_limit and weights_deadline must be positive")
+	}
 	if r.RetryWindow.AsDuration() != budget.RetryWindow {
 		return errors.Newf("retry_window must be %s", budget.RetryWindow)
 	}
 	return nil
 }
 
-// Reload applies the retry budget and the limit for old weights.
+// Reload applies the retry budget and the limits for old weights.
 func (r *Relay) Reload(next arbutusline.Module) {
 	n := next.(*Relay)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.RetryRatio, r.RetrySlack, r.OldWeightsLimit = n.RetryRatio, n.RetrySlack, n.OldWeightsLimit
-	r.selector.SetOldWeightsLimit(r.OldWeightsLimit.AsDuration())
+	r.RetryRatio, r.RetrySlack, r.OldWeightsLimit, r.WeightsDeadline = n.RetryRatio, n.RetrySlack, n.OldWeightsLimit, n.WeightsDeadline
+	r.selector.SetWeightsLimits(r.OldWeightsLimit.AsDuration(), r.WeightsDeadline.AsDuration())
 }
 
 // now returns the time since clockOrigin.
