Withdraw requests that wait on superseded weights until the deadline

Cause: what an engine has queued is an estimate, of pending prompt tokens alone. Nothing followed a request once it was sent. Expect-Version cannot help: the engine has just the version that is asked for.

Change: every 50 ms the relay looks for attempts without output whose weights were superseded for longer than weights_deadline minus 0.5 s, and closes their connection, upon which engines drop a queued request. A repeatable request is retried within the retry budget; others end with 502, which promises nothing.

Test: TestRequestThatWaitsOnExpiredWeightsIsWithdrawn (real router, stand-in engine whose queue is held): before, the response is 504 at the route's timeout and the engine may begin until then; after, 502 and no stream begun. TestWaitingRequestsAreWithdrawnBeforeTheWeightsDeadline holds the times.

--- a/cmd/arbutus-front/cluster_test.go
+++ b/cmd/arbutus-front/cluster_test.go
@@ -29,6 +29,8 @@
 	endpointServers map[string]*httptest.Server
 	routers         []*testRouter
 	logs            *logChecker
+	// relaySettings are the settings of the module relay in JSON, or empty.
+	relaySettings string
 }
 
 type testRouter struct {
@@ -99,8 +101,9 @@
 		"grpc": {"listen": "%s:%s"},
 		"directory": {"store": %q, "advertise": "%s:%s"},
 		"upgrade": {"holder": %q, "turn_pause": "300ms"},
+		"relay": {%s},
 		"ingress": {"listen": "%s:%s", "linger": "200ms", "start_wait": "30s"}
-	}`, routerNumber, r.ip, ports[1], r.ip, ports[2], storeAddress, r.ip, ports[2], r.ip, r.ip, ports[0])
+	}`, routerNumber, r.ip, ports[1], r.ip, ports[2], storeAddress, r.ip, ports[2], r.ip, c.relaySettings, r.ip, ports[0])
 	file, err := settings.Parse([]byte(text))
 	assert.NilError(c.t, err)
 	log := logrus.New()
--- a/cmd/arbutusctl/explainlogs.go
+++ b/cmd/arbutusctl/explainlogs.go
@@ -136,6 +136,7 @@
 	"unreachable":         "no endpoint could be reached; the request has not run",
 	"endpoint_error":      "the endpoint ran the request and answered with an error",
 	"moved":               "the stream left an endpoint that changes its weights, and no other endpoint took it over in time",
+	"withdrawn":           "the request waited at an endpoint until the endpoint's weights were superseded too long ago; it may have run",
 	"weights_expired":     "the free endpoints of the service have weights that were superseded too long ago; the request has not run unless an attempt is listed",
 	"no_endpoint":         "no endpoint of the service accepted requests; the request has not run unless an attempt is listed",
 	"crashes_endpoints":   "the request was refused because it had broken the connections of three endpoints",
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -312,6 +312,19 @@
 		(len(d.request.Exclude) == 0 || !slices.Contains(d.request.Exclude, c.endpoint.ID)) && !d.expired(c)
 }
 
+// MustWithdraw reports whether a request that was sent to an endpoint with the given
+// weights version and has not begun there must be withdrawn, so that it does not begin
+// after WeightsDeadline. Wall is as for Select.
+func (s *Selector) MustWithdraw(wall time.Time, v *fleet.View, model string, weightsVersion uint64) bool {
+	supersededAt, superseded := v.SupersededAt(model, weightsVersion)
+	return superseded && wall.Sub(supersededAt) > s.cfg.WeightsDeadline-withdrawMargin
+}
+
+// withdrawMargin is the time before WeightsDeadline at which requests are withdrawn. It
+// covers the delay with which a router learns of a publication, and the time until an
+// endpoint notices that the connection was closed.
+const withdrawMargin = 500 * time.Millisecond
+
 // expired is weightsExpired and records that it held for a candidate that is otherwise
 // usable.
 func (d *decision) expired(c *candidate) bool {
--- a/decision/selection/selection_test.go
+++ b/decision/selection/selection_test.go
@@ -321,6 +321,23 @@
 	}
 }
 
+// Guards against requests that wait in an engine's queue for longer than expected and
+// begin on superseded weights after the deadline.
+func TestWaitingRequestsAreWithdrawnBeforeTheWeightsDeadline(t *testing.T) {
+	s, v := New(testConfig(), "a"), newView(1, 1)
+	publish := func(version uint64, age time.Duration) {
+		v.PublishedWeightsVersions[testModel] = append(v.PublishedWeightsVersions[testModel],
+			fleet.PublishedWeightsVersion{Version: version, PublishedAt: wall.Add(-age)})
+	}
+	assert.Assert(t, !s.MustWithdraw(wall, v, testModel, 1), "version 1 is current")
+	publish(2, 7900*time.Millisecond)
+	publish(3, 5*time.Second)
+	assert.Assert(t, s.MustWithdraw(wall, v, testModel, 1))
+	assert.Assert(t, !s.MustWithdraw(wall, v, testModel, 2), "version 3 is younger than the deadline")
+	assert.Assert(t, !s.MustWithdraw(wall, v, testModel, 3))
+	assert.Assert(t, !s.MustWithdraw(wall.Add(-time.Second), v, testModel, 1))
+}
+
 // Select runs for each request. Its time must stay within a few microseconds for a
 // large number of endpoints.
 func BenchmarkSelect(b *testing.B) {
--- a/modules/relay/cachestore.go
+++ b/modules/relay/cachestore.go
@@ -14,8 +14,9 @@
 // request that names an unreachable store is delayed by some hundred milliseconds.
 const kvCacheStoreCheckInterval = time.Second
 
-// Start starts the periodic check of the KV cache store.
+// Start starts the periodic checks of the KV cache store and of waiting requests.
 func (r *Relay) Start(context.Context) error {
+	r.goroutines.Go(func() { r.withdrawPeriodically(r.ctx) })
 	r.goroutines.Go(func() { r.monitorKVCacheStore(r.ctx) })
 	return nil
 }
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -83,6 +83,9 @@
 	// resultMoved means that the router ended the attempt to continue the stream at
 	// another endpoint.
 	resultMoved
+	// resultWithdrawn means that the router ended the attempt because it had not begun
+	// when the endpoint's weights expired. The endpoint may have begun meanwhile.
+	resultWithdrawn
 	// resultCallerDisconnected means that the caller closed its connection.
 	resultCallerDisconnected
 )
@@ -91,7 +94,7 @@
 var resultNames = map[resultKind]string{
 	resultDone: "done", resultNotSent: "unreachable", resultRefused: "refused_by_endpoint",
 	resultErrorResponse: "endpoint_error", resultIncompleteResponse: "broken", resultTimeout: "no_answer",
-	resultMoved: "moved", resultCallerDisconnected: "caller_left",
+	resultMoved: "moved", resultWithdrawn: "withdrawn", resultCallerDisconnected: "caller_left",
 }
 
 // result is the result of one attempt.
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -25,6 +25,7 @@
 
 var (
 	errMovedForWeightsChange = errors.New("stream moved because the endpoint changes its weights")
+	errWeightsExpired        = errors.New("request withdrawn because it had not begun when the endpoint's weights expired")
 	errResponseTimeout       = errors.New("endpoint did not respond in time")
 	errTruncatedEvent        = errors.New("stream ended in the middle of an event")
 )
@@ -41,7 +42,8 @@
 	// its own.
 	silenceTimer *time.Timer
 	startedAt    time.Time
-	// prefillEndRecorded is true after recordPrefillEnded was called.
+	// prefillEndRecorded is true after recordPrefillEnded was called. Only the attempt's
+	// goroutine writes it, with the relay's lock held.
 	prefillEndRecorded bool
 }
 
@@ -112,6 +114,8 @@
 		return result{kind: resultNotSent, err: err}
 	case errors.Is(context.Cause(ctx), errMovedForWeightsChange):
 		return result{kind: resultMoved, err: errMovedForWeightsChange, retryReserved: true}
+	case errors.Is(context.Cause(ctx), errWeightsExpired):
+		return result{kind: resultWithdrawn, err: errWeightsExpired}
 	case errors.Is(context.Cause(ctx), errResponseTimeout):
 		return result{kind: resultTimeout, err: errResponseTimeout, retryReserved: true}
 	case ctx.Err() != nil:
@@ -227,9 +231,9 @@
 	if a.prefillEndRecorded {
 		return
 	}
-	a.prefillEndRecorded = true
 	a.relay.mu.Lock()
 	defer a.relay.mu.Unlock()
+	a.prefillEndRecorded = true
 	a.observeFirstEventLocked(computed)
 	a.relay.selector.ObservePrefillEnded(a.selectionRequest(), a.choice, computed)
 }
@@ -269,7 +273,7 @@
 		if res.wrongEndpoint {
 			outcome = selection.OutcomeNoResponse
 		}
-	case resultCallerDisconnected, resultMoved:
+	case resultCallerDisconnected, resultMoved, resultWithdrawn:
 		outcome = selection.OutcomeNeutral
 	}
 	change, health := a.recordOutcome(outcome, res.kind == resultDone)
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -34,6 +34,9 @@
 	EventInterval time.Duration
 	// WeightsLoadTime is the time that loading new weights takes.
 	WeightsLoadTime time.Duration
+	// Queue holds requests for the model until it is closed, if it is not nil. A request
+	// whose caller disconnects meanwhile does not begin.
+	Queue chan struct{}
 
 	mu              sync.Mutex
 	weightsVersion  uint64
@@ -41,6 +44,7 @@
 	orderInProgress bool
 	runningRequests int
 	executed        []ExecutedRequest
+	begunStreams    int
 	fencingTokens   []uint64
 	orderHolders    []string
 	faultsLeft      int
@@ -95,6 +99,13 @@
 	return append([]ExecutedRequest(nil), e.executed...)
 }
 
+// BegunStreams returns the number of streams that the endpoint has begun.
+func (e *Endpoint) BegunStreams() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.begunStreams
+}
+
 // OrderFencingTokens returns the fencing tokens of all weights orders that arrived,
 // accepted or not.
 func (e *Endpoint) OrderFencingTokens() []uint64 {
@@ -269,7 +280,26 @@
 	e.runningRequests--
 }
 
+// waitInQueue waits until the request may begin. It returns false if the caller
+// disconnects before that.
+func (e *Endpoint) waitInQueue(r *http.Request) bool {
+	if e.Queue != nil {
+		select {
+		case <-e.Queue:
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.begunStreams++
+	return true
+}
+
 func (e *Endpoint) serveStream(rw http.ResponseWriter, r *http.Request, fault Fault) {
+	if !e.waitInQueue(r) {
+		return
+	}
 	rw.Header().Set("Content-Type", "text/event-stream")
 	rw.Header().Set("Weight-Versions", strconv.FormatUint(e.WeightsVersion(), 10))
 	first := 1
