Load the latest weights when a newer version is published during a change

Cause: a change kept the version with which it had been planned. A frozen orderer, lost answers and the wait for long requests make changes last seconds.

Change: a change takes the latest published version as its target before it announces that the engine takes no requests and before each order, and logs "weights change has a newer target". An order that was accepted is carried out first; the next one follows in the same change, while the engine is empty. A late copy of the older order has no effect, as orders name the count of accepted ones.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -63,6 +63,7 @@
 	"weights order sent":                                         {"endpoint", "model", "weights", "fence", "orders", "status", "result"},
 	"failed to encode weights order":                             {"error"},
 	"weights change started":                                     {"endpoint", "model", "weights", "from"},
+	"weights change has a newer target":                          {"endpoint", "model", "weights", "before"},
 	"weights change postponed":                                   {"endpoint", "model", "weights", "misses", "for_ms"},
 	"weights change completed":                                   {"endpoint", "model", "weights"},
 
--- a/modules/upgrade/change.go
+++ b/modules/upgrade/change.go
@@ -49,17 +49,21 @@
 	orderNoResponse        orderResult = "no_answer"
 )
 
-// changeWeights makes an engine load the version. It returns when the engine has loaded
-// it, is gone or does not respond, or when the time or the lease has expired.
+// changeWeights makes an engine load the version, or a newer one that is published
+// meanwhile. It returns when the engine has loaded it, is gone or does not respond, or
+// when the time or the lease has expired.
 func (u *Upgrade) changeWeights(ctx context.Context, c weightsChange) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	if !u.prepare(ctx, c) {
+	if !u.prepare(ctx, &c) {
 		return
 	}
 	var orderedAt, idleAt time.Time
 	statusFailures := 0
 	for ctx.Err() == nil {
+		if u.retarget(&c) {
+			orderedAt = time.Time{}
+		}
 		status, err := u.upstream.FetchEngineStatus(ctx, c.endpoint.ID, c.endpoint.Address)
 		switch {
 		case err != nil:
@@ -97,7 +101,7 @@
 // prepare makes the routers stop sending requests to the engine: first long requests,
 // and all others shortly before the order, so that the engine stays in use until then.
 // It returns false if ctx is done.
-func (u *Upgrade) prepare(ctx context.Context, c weightsChange) bool {
+func (u *Upgrade) prepare(ctx context.Context, c *weightsChange) bool {
 	u.exchange.AnnounceWeightsChange(c.endpoint.ID, c.model, c.version, arbutuspb.ChangeStage_CHANGE_STAGE_SOON)
 	u.log.WithFields(logrus.Fields{
 		"endpoint": c.endpoint.ID, "model": c.model, "weights": c.version, "from": c.endpoint.WeightsVersions[c.model],
@@ -106,15 +110,33 @@
 	for ctx.Err() == nil {
 		wait.For(ctx, preparePollInterval)
 		_, long := u.relay.RunningRequests(c.endpoint.ID)
-		if (long == 0 || time.Since(startedAt) > maxPrepareTime) && u.admitChange(c) {
+		if (long == 0 || time.Since(startedAt) > maxPrepareTime) && u.admitChange(*c) {
 			break
 		}
 	}
-	u.exchange.AnnounceWeightsChange(c.endpoint.ID, c.model, c.version, arbutuspb.ChangeStage_CHANGE_STAGE_NOW)
+	if !u.retarget(c) {
+		u.exchange.AnnounceWeightsChange(c.endpoint.ID, c.model, c.version, arbutuspb.ChangeStage_CHANGE_STAGE_NOW)
+	}
 	wait.For(ctx, announceDelay)
 	return ctx.Err() == nil
 }
 
+// retarget makes the latest published version the target of the change, and reports
+// whether the target changed. A load of a version that is superseded by then would have
+// to be followed by another one.
+func (u *Upgrade) retarget(c *weightsChange) bool {
+	latest := u.directory.View().LatestWeightsVersions[c.model]
+	if latest <= c.version {
+		return false
+	}
+	u.log.WithFields(logrus.Fields{
+		"endpoint": c.endpoint.ID, "model": c.model, "weights": latest, "before": c.version,
+	}).Info("weights change has a newer target")
+	c.version = latest
+	u.exchange.AnnounceWeightsChange(c.endpoint.ID, c.model, c.version, arbutuspb.ChangeStage_CHANGE_STAGE_NOW)
+	return true
+}
+
 // postpone prevents the change from being tried again for postponeDuration, so that
 // other engines change first.
 func (u *Upgrade) postpone(c weightsChange) {
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -47,6 +47,7 @@
 	begunStreams    int
 	fencingTokens   []uint64
 	orderHolders    []string
+	orderVersions   []uint64
 	faultsLeft      int
 	fault           Fault
 }
@@ -122,6 +123,14 @@
 	return append([]string(nil), e.orderHolders...)
 }
 
+// OrderVersions returns the weights versions of the orders of OrderFencingTokens, in the
+// same order.
+func (e *Endpoint) OrderVersions() []uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]uint64(nil), e.orderVersions...)
+}
+
 // StoreEntry returns the entry with which the endpoint registers in the store.
 func (e *Endpoint) StoreEntry(address, zone, state string) map[string]any {
 	e.mu.Lock()
@@ -179,6 +188,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.fencingTokens, e.orderHolders = append(e.fencingTokens, order.FencingToken), append(e.orderHolders, order.Holder)
+	e.orderVersions = append(e.orderVersions, order.Version)
 	switch {
 	case e.weightsVersion == order.Version:
 		rw.WriteHeader(http.StatusOK)
