Log prompt parts and progress of failed attempts

When an engine crashes, all attempts there end as "broken" and the lines did not say which of them had begun or what their prompts shared. attempt failed now has the shared parts, the number of events, whether the head of a response arrived, and how long the attempt took.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -30,7 +30,7 @@
 	"request ended":   {"request", "route", "team", "outcome", "tries", "endpoint", "configuration", "first_ms", "took_ms"},
 	"attempt failed": {
 		"request", "route", "service", "endpoint", "address", "try", "result", "status", "weights", "cost_ms", "age_ms",
-		"left_ms", "last_event", "configuration", "error",
+		"left_ms", "last_event", "configuration", "shared_parts", "head", "events", "try_ms", "error",
 	},
 	"request refused because of overload": {
 		"request", "route", "service", "reason", "endpoint", "wait_ms", "prefill_ms", "margin_ms", "objective_ms", "left_ms",
--- a/fleet/prompt.go
+++ b/fleet/prompt.go
@@ -20,10 +20,13 @@
 	Parts []PromptPart
 }
 
+// SharedParts returns all parts except the last one.
+func (p *Prompt) SharedParts() []PromptPart { return p.Parts[:max(0, len(p.Parts)-1)] }
+
 // SharedTokens returns the number of tokens of all parts except the last one.
 func (p *Prompt) SharedTokens() int {
 	n := 0
-	for _, part := range p.Parts[:max(0, len(p.Parts)-1)] {
+	for _, part := range p.SharedParts() {
 		n += part.Tokens
 	}
 	return n
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -101,6 +103,11 @@
 	header http.Header
 	body   []byte
 	err    error
+	// headReceived is true if the head of a response arrived, and eventCount the number
+	// of complete events that followed it.
+	headReceived bool
+	eventCount   int
+	duration     time.Duration
 	// wrongEndpoint means that another endpoint now uses the address.
 	wrongEndpoint bool
 	// retryReserved means that the retry budget was already charged for the next
@@ -238,13 +245,27 @@
 		"endpoint": c.Endpoint.ID, "address": c.Endpoint.Address, "try": x.attempts, "result": resultNames[x.lastResult.kind],
 		"status": x.lastResult.status, "weights": c.WeightsVersion, "cost_ms": c.Cost.Milliseconds(),
 		"age_ms": time.Since(x.req.ArrivedAt).Milliseconds(), "left_ms": time.Until(x.req.Deadline).Milliseconds(),
-		"last_event": x.lastEventID, "configuration": x.req.ConfigurationVersion,
+		"last_event": x.lastEventID, "configuration": x.req.ConfigurationVersion, "shared_parts": x.formatSharedParts(),
+		"head": x.lastResult.headReceived, "events": x.lastResult.eventCount, "try_ms": x.lastResult.duration.Milliseconds(),
 	}).WithError(x.lastResult.err).Warn("attempt failed")
 	if x.lastResult.kind == resultIncompleteResponse {
 		x.reportCrash(c.Endpoint.ID)
 	}
 }
 
+// formatSharedParts returns the IDs of the prompt's shared parts in order, in
+// hexadecimal and separated by commas. It is empty for requests without a prompt.
+func (x *execution) formatSharedParts() string {
+	if x.req.Prompt == nil {
+		return ""
+	}
+	var ids []string
+	for _, part := range x.req.Prompt.SharedParts() {
+		ids = append(ids, strconv.FormatUint(part.ID, 16))
+	}
+	return strings.Join(ids, ",")
+}
+
 // reportCrash adds a crash report about the request and the endpoint, because an
 // incomplete response may mean that the request crashed the endpoint.
 func (x *execution) reportCrash(endpoint string) {
@@ -350,6 +371,7 @@
 	x.relay.trackAttempt(a, true)
 	defer x.relay.trackAttempt(a, false)
 	res := a.run(ctx)
+	res.headReceived, res.eventCount, res.duration = a.headReceived, a.eventCount, time.Since(a.startedAt)
 	a.recordEnd(res)
 	return res
 }
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -41,6 +41,8 @@
 	// its own.
 	silenceTimer *time.Timer
 	startedAt    time.Time
+	headReceived bool
+	eventCount   int
 	// prefillEndRecorded is true after recordPrefillEnded was called.
 	prefillEndRecorded bool
 }
@@ -72,6 +74,7 @@
 		return a.resultOfError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }() // returns the connection to its pool or closes it
+	a.headReceived = true
 	a.observeWeightsVersion(response)
 	if response.Status == http.StatusMisdirectedRequest || response.Header.Get(platform.HeaderNotExecuted) != "" {
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
@@ -215,6 +218,7 @@
 
 // onEvent records that an event arrived and restarts the silence timer.
 func (a *attempt) onEvent() {
+	a.eventCount++
 	a.recordPrefillEnded(true)
 	if a.silenceTimer != nil {
 		a.silenceTimer.Reset(maxEventGap)
