--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -42,6 +42,8 @@
 	// its own.
 	silenceTimer *time.Timer
 	startedAt    time.Time
+	headReceived bool
+	eventCount   int
 	// prefillEndRecorded is true after recordPrefillEnded was called. Only the attempt's
 	// goroutine writes it, with the relay's lock held.
 	prefillEndRecorded bool
@@ -74,6 +76,7 @@
 		return a.resultOfError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }() // returns the connection to its pool or closes it
+	a.headReceived = true
 	a.observeWeightsVersion(response)
 	if response.Status == http.StatusMisdirectedRequest || response.Header.Get(platform.HeaderNotExecuted) != "" {
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
@@ -219,6 +222,7 @@
 
 // onEvent records that an event arrived and restarts the silence timer.
 func (a *attempt) onEvent() {
+	a.eventCount++
 	a.recordPrefillEnded(true)
 	if a.silenceTimer != nil {
 		a.silenceTimer.Reset(maxEventGap)
