Open the queue of the stand-in engine after the withdrawal has reached it

Cause, from the log of that run: the caller's 502 came before the engine had seen the closed connection, the test then opened the queue, and the stand-in chose at random between two ready events. The engine loads the weights only when nothing runs or waits there any more, so the test now waits for that, checks that no stream has begun, and opens the queue afterwards. The promise that is checked is the same.

--- a/cmd/arbutus-front/weights_test.go
+++ b/cmd/arbutus-front/weights_test.go
@@ -23,9 +23,9 @@
 	r := <-responses
 	assert.NilError(t, r.err)
 	assert.Equal(t, r.status, http.StatusBadGateway, "the request may have run")
-	close(engine.Queue)
 	c.eventually("the engine has loaded the weights", func() bool { return engine.WeightsVersion() == 2 })
 	assert.Equal(t, engine.BegunStreams(), 0)
+	close(engine.Queue)
 	c.eventually("requests are served again", func() bool { return router.sendPrompt("next", "/audit/x").status == http.StatusOK })
 }
 
