Log requests that are sent to and started on superseded weights

Requests began on a weights version later than 8 s after a newer one was acknowledged. The logs did not tell what the router knew when it sent such a request: how old the newer version was, whether an endpoint had it, how long the endpoint's queue seemed, and whether the store was reachable.

Two lines now appear for each attempt past old_weights_limit, one when it is sent and one at its first event, with these inputs and the time taken.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -65,6 +65,13 @@
 	"weights change started":                                     {"endpoint", "model", "weights", "from"},
 	"weights change postponed":                                   {"endpoint", "model", "weights", "misses", "for_ms"},
 	"weights change completed":                                   {"endpoint", "model", "weights"},
+	"request sent to superseded weights": {
+		"request", "route", "service", "endpoint", "try", "weights", "newest", "newest_loaded", "superseded_ms", "wait_ms",
+		"prefill_ms", "running_own", "running_remote", "pending_own", "pending_remote", "store_reachable", "moved", "age_ms",
+	},
+	"request started on superseded weights": {
+		"request", "route", "service", "endpoint", "try", "weights", "newest", "superseded_ms", "wait_ms", "prefill_ms", "took_ms",
+	},
 
 	// Dependencies.
 	"store unreachable":                   {"kind", "error"},
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -83,6 +83,11 @@
 	Endpoint *fleet.Endpoint
 	// WeightsVersion is the version that the endpoint is expected to serve.
 	WeightsVersion uint64
+	// SupersededFor is how long ago a newer weights version was published, or 0 if
+	// there is none. NewestLoadedVersion is the newest version that a ready endpoint of
+	// the service has loaded. Both are 0 for plain requests.
+	SupersededFor       time.Duration
+	NewestLoadedVersion uint64
 	// Cost is the estimated cost of the request at the endpoint.
 	Cost time.Duration
 	// Wait is the expected time until the endpoint begins with the prompt, and Prefill
@@ -254,6 +259,10 @@
 	}
 	plan := d.planPrefill(d.bestIndex, c)
 	out.WeightsVersion, out.CachedTokens = c.weightsVersion, plan.cachedTokens
+	out.NewestLoadedVersion = d.pool.newestLoadedVersion
+	if c.superseded {
+		out.SupersededFor = d.wall.Sub(c.supersededAt)
+	}
 	out.Wait = d.queueTime(c.state)
 	out.Prefill = d.prefillTime(d.request.Prompt.Tokens-plan.cachedTokens-plan.fetchedTokens) + d.fetchTime(plan.fetchedTokens)
 	if plan.fetchedTokens > 0 {
--- a/decision/selection/use.go
+++ b/decision/selection/use.go
@@ -60,3 +60,10 @@
 	st := s.endpointState(endpointID)
 	return st.pendingPrefillTokens + st.remotePendingPrefillTokens
 }
+
+// LoadsBySource returns the work at an endpoint of this router and of all other routers.
+func (s *Selector) LoadsBySource(endpointID string) (own, remote EndpointLoad) {
+	st := s.endpointState(endpointID)
+	return EndpointLoad{endpointID, st.running, st.pendingPrefillTokens, st.longRunning},
+		EndpointLoad{endpointID, st.remoteRunning, st.remotePendingPrefillTokens, st.remoteLongRunning}
+}
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -349,6 +349,7 @@
 	defer a.cancel(nil)
 	x.relay.trackAttempt(a, true)
 	defer x.relay.trackAttempt(a, false)
+	a.logSentToOldWeights()
 	res := a.run(ctx)
 	a.recordEnd(res)
 	return res
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -228,6 +228,9 @@
 		return
 	}
 	a.prefillEndRecorded = true
+	if computed {
+		a.logStartedOnOldWeights()
+	}
 	a.relay.mu.Lock()
 	defer a.relay.mu.Unlock()
 	a.observeFirstEventLocked(computed)
--- a/modules/relay/weights.go
+++ b/modules/relay/weights.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/fleet"
 )
 
@@ -30,3 +34,51 @@
 
 // initContext creates the context of background work.
 func (r *Relay) initContext() { r.ctx, r.cancel = context.WithCancel(context.Background()) }
+
+// logSentToOldWeights logs that the attempt is sent to weights that were superseded for
+// longer than the limit, with what the router knows about the endpoint's queue.
+func (a *attempt) logSentToOldWeights() {
+	if a.choice.SupersededFor == 0 || a.choice.SupersededFor <= a.relay.oldWeightsLimit() {
+		return
+	}
+	own, remote := a.relay.loadsBySource(a.choice.Endpoint.ID)
+	a.weightsLogEntry(a.choice.SupersededFor).WithFields(logrus.Fields{
+		"newest_loaded": a.choice.NewestLoadedVersion, "running_own": own.Running, "running_remote": remote.Running,
+		"pending_own": own.PendingPrefillTokens, "pending_remote": remote.PendingPrefillTokens,
+		"store_reachable": !a.relay.directory.StoreUnreachable(), "moved": a.lastResult.kind == resultMoved,
+		"age_ms": time.Since(a.req.ArrivedAt).Milliseconds(),
+	}).Warn("request sent to superseded weights")
+}
+
+// logStartedOnOldWeights logs that the endpoint has begun with the request on weights
+// that were superseded for longer than the limit, and how long it took to begin.
+func (a *attempt) logStartedOnOldWeights() {
+	if a.req.Prompt == nil {
+		return
+	}
+	at, superseded := a.relay.directory.View().SupersededAt(a.req.Prompt.Model, a.choice.WeightsVersion)
+	if !superseded || time.Since(at) <= a.relay.oldWeightsLimit() {
+		return
+	}
+	a.weightsLogEntry(time.Since(at)).WithField("took_ms", time.Since(a.startedAt).Milliseconds()).Warn("request started on superseded weights")
+}
+
+func (a *attempt) weightsLogEntry(supersededFor time.Duration) *logrus.Entry {
+	return a.log().WithFields(logrus.Fields{
+		"endpoint": a.choice.Endpoint.ID, "try": a.attempts, "weights": a.choice.WeightsVersion,
+		"newest":        a.relay.directory.View().LatestWeightsVersions[a.req.Prompt.Model],
+		"superseded_ms": supersededFor.Milliseconds(), "wait_ms": a.choice.Wait.Milliseconds(), "prefill_ms": a.choice.Prefill.Milliseconds(),
+	})
+}
+
+func (r *Relay) oldWeightsLimit() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.OldWeightsLimit.AsDuration()
+}
+
+func (r *Relay) loadsBySource(endpointID string) (own, remote selection.EndpointLoad) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.selector.LoadsBySource(endpointID)
+}
