--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -381,6 +381,7 @@
 	defer a.cancel(nil)
 	x.relay.trackAttempt(a, true)
 	defer x.relay.trackAttempt(a, false)
+	a.logSentToOldWeights()
 	res := a.run(ctx)
 	res.headReceived, res.eventCount, res.duration = a.headReceived, a.eventCount, time.Since(a.startedAt)
 	a.recordEnd(res)
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -235,6 +235,9 @@
 	if a.prefillEndRecorded {
 		return
 	}
+	if computed {
+		a.logStartedOnOldWeights()
+	}
 	a.relay.mu.Lock()
 	defer a.relay.mu.Unlock()
 	a.prefillEndRecorded = true
