Keep the weights deadline while another router reaches the store

Cause: the exception is for a rollout that stalls because nobody can renew the order lease. The router took its own failed call as a sign of that, though routers tell each other whether they reach the store, the others go on changing weights, and it learns of versions and of changed engines from them.

Change: the exception holds only while neither this router nor one that responds to it reaches the store.

TestRouterWithoutStoreKeepsTheWeightsDeadline: before, a request that waits on superseded weights at a router without store is not withdrawn (504 at the route's timeout); after, it is (502) and no stream has begun.

--- a/cmd/arbutus-front/weights_test.go
+++ b/cmd/arbutus-front/weights_test.go
@@ -110,6 +110,28 @@
 	c.eventually("requests are served again", func() bool { return router.sendPrompt("next", "/audit/x").status == http.StatusOK })
 }
 
+// Guards against a router that alone cannot reach the store and suspends the deadline of
+// superseded weights, while the others reach the store and go on changing weights.
+func TestRouterWithoutStoreKeepsTheWeightsDeadline(t *testing.T) {
+	c := newCluster(t)
+	c.relaySettings = `"weights_deadline": "1s"`
+	engine := engineEndpoint("engine-1")
+	engine.Queue = make(chan struct{})
+	c.startEndpoint(engine)
+	c.startRouter()
+	isolated := c.startRouter()
+	isolated.storeProxy.MakeUnavailable()
+	c.eventually("the router has lost the store", func() bool { return c.logs.wasLogged("store unreachable") })
+	responses := make(chan response, 1)
+	go func() { responses <- isolated.sendPrompt("waiting", "/audit/x") }()
+	c.eventually("the request has reached the engine", func() bool { return engine.ExecutionCount("waiting") == 1 })
+	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+	assert.Equal(t, (<-responses).status, http.StatusBadGateway)
+	c.eventually("the engine has loaded the weights", func() bool { return engine.WeightsVersion() == 2 })
+	assert.Equal(t, engine.BegunStreams(), 0)
+	close(engine.Queue)
+}
+
 // Guards against engines that load a superseded version because a newer one was
 // published while their change was being prepared: each then needed a second load.
 func TestChangeInPreparationLoadsTheLatestWeights(t *testing.T) {
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -65,7 +65,7 @@
 	// new endpoint.
 	MovedForWeightsChange bool
 	// AllowExpiredWeights allows an endpoint with weights past OldWeightsLimit and
-	// WeightsDeadline. It is set while the platform's store is unavailable, as the
+	// WeightsDeadline. It is set while no router reaches the platform's store, as the
 	// change to the new weights may then take long.
 	AllowExpiredWeights bool
 	// Repeatable requests may run more than once. They may therefore be the first
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -96,6 +96,8 @@
 	// storeUnreachable is true from the first failed list or watch until the next
 	// successful list.
 	storeUnreachable atomic.Bool
+	// othersReachStore is true while another router responds and reaches the store.
+	othersReachStore atomic.Bool
 	// routerCount is the number of registered routers, or 0 before the first list.
 	routerCount atomic.Int64
 	// storeReachableSince is when the last outage of the store ended.
@@ -326,6 +328,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.watchRank, d.reachableRouters = rank, routers
+	d.othersReachStore.Store(routers > 1)
 }
 
 func (d *Directory) watchObjects(ctx context.Context, kind string, since uint64, timeout time.Duration) (uint64, error) {
@@ -365,6 +368,13 @@
 // take.
 func (d *Directory) StoreUnreachable() bool { return d.storeUnreachable.Load() }
 
+// StoreUnreachableForAll reports whether neither this router nor one that it reaches can
+// reach the store. Weights changes go on while a router can, and this router then learns
+// of them from the others. It takes no lock.
+func (d *Directory) StoreUnreachableForAll() bool {
+	return d.storeUnreachable.Load() && !d.othersReachStore.Load()
+}
+
 func (d *Directory) markStoreReachable(kind string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -347,7 +347,7 @@
 	return &selection.Request{
 		Service: x.req.Service, Prompt: x.req.Prompt, CacheNamespace: x.req.teamNamespace(), Exclude: x.excluded,
 		Repeatable: x.req.Route.Repeatable(), MovedForWeightsChange: x.lastResult.kind == resultMoved,
-		AllowExpiredWeights: x.relay.directory.StoreUnreachable(),
+		AllowExpiredWeights: x.relay.directory.StoreUnreachableForAll(),
 	}
 }
 
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -58,7 +58,7 @@
 	OldWeightsLimit settings.Duration `json:"old_weights_limit"`
 	// WeightsDeadline is the time after the publication of a new weights version from
 	// which no request begins on an older one, even if no engine has loaded the new
-	// one, unless the store is unreachable. Default 8s.
+	// one, unless no router reaches the store. Default 8s.
 	WeightsDeadline settings.Duration `json:"weights_deadline"`
 
 	log       *logrus.Entry
--- a/modules/relay/weights.go
+++ b/modules/relay/weights.go
@@ -20,7 +20,7 @@
 func (r *Relay) withdrawPeriodically(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.For(ctx, withdrawInterval)
-		if !r.directory.StoreUnreachable() {
+		if !r.directory.StoreUnreachableForAll() {
 			r.withdrawWaiting()
 		}
 	}
