Count only crashes before the first output against a request

Cause: each incomplete response counted as a strike, also when the engine had sent events. Such a request met engines that others crashed: an engine that has begun to answer it shows that the request does not crash engines.

Change: an attempt that received an event is not reported.

TestStreamsInterruptedByCrashesAreNotRefused: before, the fourth stream of one request is refused with 503 after three engines broke off in the middle of it; after, it is served whole. TestRequestThatCrashesEndpointsIsRefused, without output, is unchanged.

--- a/cmd/arbutus-front/front_test.go
+++ b/cmd/arbutus-front/front_test.go
@@ -295,6 +295,24 @@
 	assert.Assert(t, executions <= 3, "reached endpoints %d times", executions)
 }
 
+// Guards against refusing a sound request as one that crashes endpoints: three engines
+// that crashed while they sent its stream had begun it without crashing.
+func TestStreamsInterruptedByCrashesAreNotRefused(t *testing.T) {
+	c := newCluster(t)
+	engines := []*platform.Endpoint{c.startEndpoint(engineEndpoint("e1"))}
+	router := c.startRouter()
+	for _, id := range []string{"e2", "e3", "e4"} {
+		last := engines[len(engines)-1]
+		last.InjectFault(1, platform.FaultTruncatedResponse)
+		r := router.sendPrompt("cut-at-"+last.ID, "/audit/x")
+		assert.Assert(t, r.err != nil, "the stream ends early")
+		c.registerEndpoint(last, "draining")
+		engines = append(engines, c.startEndpoint(engineEndpoint(id)))
+		c.eventually("the next engine is known", func() bool { return router.fleetView().EndpointsByID[id] != nil })
+	}
+	assertAllEvents(t, router.sendPrompt("next", "/audit/x"))
+}
+
 // Guards against a router that stays unregistered, and so unknown to the other routers,
 // after the response to its registration was lost.
 func TestRegistrationSurvivesLostResponse(t *testing.T) {
--- a/decision/strikes/strikes.go
+++ b/decision/strikes/strikes.go
@@ -1,7 +1,7 @@
 // Package strikes detects requests that crash the endpoints that run them. Each
-// endpoint whose connection was lost while it ran a request counts as one strike against
-// the request; after three strikes the request is refused for some time. Routers
-// exchange their reports. Table is a pure state machine and not safe for concurrent
+// endpoint whose connection was lost before it sent output of a request counts as one
+// strike against the request; after three strikes the request is refused for some time.
+// Routers exchange their reports. Table is a pure state machine and not safe for concurrent
 // use.
 package strikes
 
@@ -21,8 +21,8 @@
 	sendsPerChange = 8
 )
 
-// CrashReport reports that the connection to an endpoint was lost while the endpoint
-// ran a request.
+// CrashReport reports that the connection to an endpoint was lost after a request was
+// sent and before the endpoint sent output.
 type CrashReport struct {
 	// Fingerprint identifies the request by path, caller and body.
 	Fingerprint uint64
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -259,7 +259,7 @@
 		"last_event": x.lastEventID, "configuration": x.req.ConfigurationVersion, "shared_parts": x.formatSharedParts(),
 		"head": x.lastResult.headReceived, "events": x.lastResult.eventCount, "try_ms": x.lastResult.duration.Milliseconds(),
 	}).WithError(x.lastResult.err).Warn("attempt failed")
-	if x.lastResult.kind == resultIncompleteResponse {
+	if x.lastResult.kind == resultIncompleteResponse && x.lastResult.eventCount == 0 {
 		x.reportCrash(c.Endpoint.ID)
 	}
 }
@@ -277,8 +277,8 @@
 	return strings.Join(ids, ",")
 }
 
-// reportCrash adds a crash report about the request and the endpoint, because an
-// incomplete response may mean that the request crashed the endpoint.
+// reportCrash adds a crash report about the request and the endpoint, because a response
+// without output that is incomplete may mean that the request crashed the endpoint.
 func (x *execution) reportCrash(endpoint string) {
 	r := x.relay
 	r.mu.Lock()
