Repeat a weights order without an answer with the engine's next status

Callers saw superseded weights for longer than needed while answers to orders are lost: an order that got no answer was repeated 0.8 s after its timeout, and seven requests for the engine's status said meanwhile that no order was in progress.

Cause: an unanswered order counted as an accepted one. It may be carried out late, but orders name the count of accepted orders, so a repetition and a late copy never both have an effect.

Change: only an accepted order is waited for.

TestOrderWithoutAnswerIsRepeatedWithTheNextStatus: before, seven status requests between two orders; after, one, and the engine carries out one order.

--- a/cmd/arbutus-front/weights_test.go
+++ b/cmd/arbutus-front/weights_test.go
@@ -16,24 +16,51 @@
 )
 
 // orderRefuser records the versions of all weights orders to an engine and, while
-// refusing is true, answers them as if another order was in progress.
+// refusing is true, answers them as if another order was in progress. The next dropped
+// orders get no answer.
 type orderRefuser struct {
 	engine *platform.Endpoint
 
 	mu       sync.Mutex
 	refusing bool
+	dropped  int
 	versions []uint64
+	// statusCalls counts the requests for the engine's status since the last order, and
+	// statusCallsBetween has the counts between two orders.
+	statusCalls        int
+	statusCallsBetween []int
 }
 
 // ServeHTTP implements http.Handler.
 func (o *orderRefuser) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/order" && !o.admitOrder(r) {
+	switch {
+	case r.URL.Path == "/report":
+		o.countStatusCall()
+	case r.URL.Path == "/order" && o.dropOrder():
+		panic(http.ErrAbortHandler)
+	case r.URL.Path == "/order" && !o.admitOrder(r):
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
 	o.engine.ServeHTTP(w, r)
 }
 
+func (o *orderRefuser) countStatusCall() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.statusCalls++
+}
+
+// dropOrder counts an order and reports whether it gets no answer.
+func (o *orderRefuser) dropOrder() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.statusCallsBetween = append(o.statusCallsBetween, o.statusCalls)
+	o.statusCalls = 0
+	o.dropped--
+	return o.dropped >= 0
+}
+
 func (o *orderRefuser) admitOrder(r *http.Request) bool {
 	var order struct {
 		Version uint64 `json:"version"`
@@ -88,6 +115,26 @@
 	}
 }
 
+// Guards against a pause of seconds after each order whose answer is lost: engines keep
+// superseded weights meanwhile.
+func TestOrderWithoutAnswerIsRepeatedWithTheNextStatus(t *testing.T) {
+	c := newCluster(t)
+	e := engineEndpoint("e1")
+	e.SetWeightsVersion(1)
+	orders := &orderRefuser{engine: e, dropped: 4}
+	server := httptest.NewServer(orders)
+	t.Cleanup(server.Close)
+	c.endpointServers[e.ID] = server
+	c.registerEndpoint(e, "ready")
+	c.startRouter()
+	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+	c.eventually("the engine has version 2", func() bool { return e.WeightsVersion() == 2 })
+	orders.mu.Lock()
+	defer orders.mu.Unlock()
+	assert.DeepEqual(t, orders.statusCallsBetween, []int{1, 1, 1, 1, 1})
+	assert.DeepEqual(t, e.OrderVersions(), []uint64{2})
+}
+
 // Guards against a request that waits in an engine's queue until the engine's weights
 // have been superseded for too long, and begins then.
 func TestRequestThatWaitsOnExpiredWeightsIsWithdrawn(t *testing.T) {
--- a/modules/upgrade/change.go
+++ b/modules/upgrade/change.go
@@ -27,8 +27,9 @@
 	// running requests; the load takes less than a second, or longer if several engines
 	// load at the same time.
 	changeTimeout = 10 * time.Second
-	// orderResendInterval is the time after which an order without a visible effect is
-	// sent again.
+	// orderResendInterval is the time after which an accepted order without a visible
+	// effect is sent again. An order without a response is repeated with the next status:
+	// the count of accepted orders that it names keeps both copies from having an effect.
 	orderResendInterval = 800 * time.Millisecond
 	// maxStatusFailures is the number of failed requests for an engine's status during
 	// a change after which the change is postponed for postponeDuration.
@@ -84,7 +85,7 @@
 				u.finishChange(c, c.version, orderedAt, idleAt)
 				return
 			}
-			if result == orderAccepted || result == orderNoResponse {
+			if result == orderAccepted {
 				orderedAt = time.Now()
 			}
 		}
