--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -34,7 +34,13 @@
 	EventInterval time.Duration
 	// WeightsLoadTime is the time that loading new weights takes.
 	WeightsLoadTime time.Duration
+	// CrashingPart is the ID of a prompt part, in hexadecimal. An endpoint of an
+	// EndpointHost crashes when it begins to answer a request with that part. Empty for
+	// none.
+	CrashingPart string
 
+	// crash ends the endpoint like a process that is killed. It is set by EndpointHost.
+	crash           func()
 	mu              sync.Mutex
 	weightsVersion  uint64
 	acceptedOrders  uint64
@@ -65,6 +71,9 @@
 	// FaultForeignResponse executes the request and sends a response to another
 	// request before the correct one.
 	FaultForeignResponse Fault = "foreign"
+	// FaultCrash executes the request and crashes the endpoint when it begins to answer.
+	// Only endpoints of an EndpointHost can crash.
+	FaultCrash Fault = "crash"
 )
 
 // InjectFault makes the next n requests fail with fault f.
@@ -220,6 +229,11 @@
 	}
 	rw.Header().Set("Request-Id", id)
 	rw.Header().Set("Server-Stamp", e.ID+"."+id)
+	if fault == FaultCrash || e.isCrashedBy(r) {
+		_ = http.NewResponseController(rw).Flush() // The crash follows in any case.
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}
 	if fault == FaultError {
 		rw.WriteHeader(http.StatusInternalServerError)
 		return
@@ -263,6 +277,19 @@
 	return fault, 0
 }
 
+// isCrashedBy reports whether a request has the part that crashes the endpoint.
+func (e *Endpoint) isCrashedBy(r *http.Request) bool {
+	if e.CrashingPart == "" {
+		return false
+	}
+	for part := range strings.SplitSeq(r.Header.Get("Prefix-Hash"), ",") {
+		if id, _, _ := strings.Cut(strings.TrimSpace(part), ":"); strings.EqualFold(id, e.CrashingPart) {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *Endpoint) endRequest() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
