Add decision/poison, which finds the prompt parts that crash engines

Change: a pure table of the crashes per prompt part, with clearance by sound runs, explanation of the crashes of one part by another, tests by one router at a time and mergeable reports. Not wired into modules yet.

--- /dev/null
+++ b/decision/poison/poison.go
@@ -0,0 +1,559 @@
+// Package poison finds the prompt parts that crash every engine that begins to answer a
+// prompt with them (poison pills), and refuses further requests with such a part. Requests
+// with a poison pill are otherwise unlike each other, so their fingerprints are of no use.
+// Sound requests share callers and all other parts with them, and engines also crash for
+// other reasons.
+//
+// The evidence against a part are crashes of engines that had an attempt with the part and
+// without output. If one of these attempts had begun its answer, only the parts of such
+// attempts count. An attempt with output proves that its parts are sound up to then: only
+// crashes after the last proof count, and parts in frequent use are thus cleared all the
+// time. Crashes at about the same time count once, because many engines may crash at once
+// for a common reason. A part is condemned after three such moments if it was never seen
+// sound and takes part in at least half of the known crashes since the first, else after up
+// to five.
+//
+// The crashes of a condemned part may be explained by another that takes part in all of
+// them and in more, or that unlike it was never seen sound. Such a part is not refused.
+// Parts that always occurred together cannot be told apart: a request is refused if it has
+// all of them, so that requests with some of them show which is sound.
+//
+// Routers exchange their records, which can be merged in any order and more than once. A
+// condemned part is tested at growing intervals by one request of one router.
+//
+// Table is a pure state machine and not safe for concurrent use.
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// minCrashMoments and maxCrashMoments bound the number of moments of crashes after
+	// which a part is condemned. Less than three are common without a poison pill, and
+	// after the fifth crash almost no request with the part may reach an engine.
+	minCrashMoments = 3
+	maxCrashMoments = 5
+	// crashMoment is the time within which crashes of different engines count once. Five
+	// moments fit into the time within which all routers must refuse the part.
+	crashMoment = 300 * time.Millisecond
+	// crashMergeWindow is the largest difference between reports of one crash of an
+	// endpoint. Engines take longer than that to restart.
+	crashMergeWindow = 2 * time.Second
+	// evidenceTTL is how long a crash counts, and how long the clearance of a part is
+	// remembered.
+	evidenceTTL = 3 * time.Minute
+	// condemnedTTL is how long a part stays condemned after the last request with it.
+	condemnedTTL = 10 * time.Minute
+	// maxCrashesPerPart bounds the recorded crashes of a part.
+	maxCrashesPerPart = 64
+	// maxRecentCrashes bounds the recorded crashes of all parts together.
+	maxRecentCrashes = 256
+	// defaultMaxParts is the default of Config.MaxParts.
+	defaultMaxParts = 4096
+)
+
+// Config holds the parameters of a Table.
+type Config struct {
+	// MaxParts bounds the table. The least incriminated part that changed least recently
+	// is evicted first. Default 4096.
+	MaxParts int
+}
+
+// Verdict is the decision about a request.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Allow means that no part of the request is condemned.
+	Allow Verdict = iota
+	// Refuse means that the request must not be sent to an engine.
+	Refuse
+	// Test means that the request may be sent to an engine as the test of its condemned
+	// parts.
+	Test
+)
+
+// ChangeKind is how the state of a part changed.
+type ChangeKind uint8
+
+// Kinds of changes.
+const (
+	// Condemned means that requests with the part are refused from now on.
+	Condemned ChangeKind = iota + 1
+	// Cleared means that a condemned part was found sound.
+	Cleared
+	// Explained means that the crashes of a condemned part are attributed to another part.
+	Explained
+)
+
+// Change is a change of the state of a part, for logs.
+type Change struct {
+	Part uint64
+	Kind ChangeKind
+	// Crashes is the number of crashes that count against the part, and Moments the
+	// number of moments at which they happened.
+	Crashes, Moments int
+	// OtherCrashes is the number of known crashes without the part since its first.
+	OtherCrashes int
+	// Tests is the number of tests since the part was condemned.
+	Tests int
+}
+
+// crash is a crash of an engine.
+type crash struct {
+	// endpoint is the hash of the endpoint's ID.
+	endpoint uint64
+	at       time.Duration
+	// begun means that an attempt with the part or, in Table.recent, with any part had
+	// begun its answer.
+	begun bool
+}
+
+// entry is what is known of a part.
+type entry struct {
+	// generation counts the sound runs that cleared the part, and soundAt is the time of
+	// the last of them. Routers order clearances by generation, because times that are
+	// passed on as ages grow by the transit time of each message.
+	generation uint32
+	soundAt    time.Duration
+	// ownSoundAt is the time of the last sound run at this router while the part was in
+	// the table.
+	ownSoundAt time.Duration
+	// crashes are the crashes since the last sound run, oldest first.
+	crashes []crash
+
+	condemned   bool
+	condemnedAt time.Duration
+	// explained means that the crashes of the condemned part are attributed to another.
+	explained bool
+	// companions are the other condemned parts with the same crashes.
+	companions []uint64
+	// tests is the number of tests since condemnedAt and testedAt the start of the last.
+	tests    int
+	testedAt time.Duration
+	// requestedAt is the time of the last refused request at this router.
+	requestedAt time.Duration
+
+	rank rankCache
+
+	changedAt time.Duration
+	sentAt    time.Duration
+	sendsLeft int
+}
+
+func (e *entry) refused() bool { return e.condemned && !e.explained }
+
+// seenSound reports whether any router saw a sound run with the part.
+func (e *entry) seenSound() bool { return e.generation > 0 }
+
+// Table holds the evidence of all routers. Parts are given by keys; the last part of a
+// prompt belongs to the request or its session and must not be among them.
+type Table struct {
+	cfg     Config
+	entries map[uint64]*entry
+	// condemned holds the condemned parts, explained ones too.
+	condemned map[uint64]*entry
+	// recent are the known crashes, oldest first.
+	recent []crash
+	// sound and olderSound map parts to the times of their last sound runs at this router.
+	// When sound is full it becomes olderSound.
+	sound, olderSound map[uint64]time.Duration
+	ranks             *ranking
+}
+
+// never is before every time of a table.
+const never = time.Duration(-1 << 62)
+
+// New returns an empty table.
+func New(cfg Config) *Table {
+	cfg.MaxParts = cmp.Or(cfg.MaxParts, defaultMaxParts)
+	return &Table{
+		cfg: cfg, entries: map[uint64]*entry{}, condemned: map[uint64]*entry{}, sound: map[uint64]time.Duration{},
+	}
+}
+
+// Len returns the number of parts in the table.
+func (t *Table) Len() int { return len(t.entries) }
+
+// ObserveCrash records that an endpoint crashed while an attempt with the parts had produced
+// no output. It is called once for each such attempt. Begun means that the attempt had begun
+// its answer, as by sending the head of its response.
+func (t *Table) ObserveCrash(now time.Duration, endpoint string, parts []uint64, begun bool) []Change {
+	c := crash{hashString(endpoint), now, begun}
+	t.addRecent(now, c)
+	var touched []uint64
+	for _, part := range parts {
+		e := t.entry(now, part)
+		if e.addCrash(now, c) {
+			e.changed(now)
+			touched = append(touched, part)
+		}
+	}
+	return t.judge(now, touched, nil)
+}
+
+// ObserveSound records that an attempt with the parts produced output. It is called once for
+// each attempt, at its first output: a run that lasts long says nothing about the time after
+// its beginning.
+func (t *Table) ObserveSound(now time.Duration, parts []uint64) []Change {
+	var changes []Change
+	var touched []uint64
+	for _, part := range parts {
+		t.recordSound(now, part)
+		e := t.entries[part]
+		if e == nil {
+			continue
+		}
+		e.ownSoundAt = now
+		if len(e.crashes) == 0 && !e.condemned {
+			continue
+		}
+		e.generation++
+		e.soundAt = now
+		changes = t.clear(part, e, changes)
+		e.changed(now)
+		touched = append(touched, part)
+	}
+	return t.judge(now, touched, changes)
+}
+
+// recordSound remembers a sound run of a part that may become a suspect later.
+func (t *Table) recordSound(now time.Duration, part uint64) {
+	if len(t.sound) >= t.cfg.MaxParts {
+		t.sound, t.olderSound = map[uint64]time.Duration{}, t.sound
+	}
+	t.sound[part] = now
+}
+
+// lastSound returns the time of the last sound run of a part at this router.
+func (t *Table) lastSound(part uint64) (time.Duration, bool) {
+	if at, ok := t.sound[part]; ok {
+		return at, true
+	}
+	at, ok := t.olderSound[part]
+	return at, ok
+}
+
+// clear removes what is known against a part from the time before its last sound run.
+func (t *Table) clear(part uint64, e *entry, changes []Change) []Change {
+	e.crashes = slices.DeleteFunc(e.crashes, func(c crash) bool { return c.at <= max(e.soundAt, e.ownSoundAt) })
+	if !e.condemned {
+		return changes
+	}
+	if e.refused() {
+		changes = append(changes, t.change(part, e, Cleared))
+	}
+	e.condemned, e.explained, e.companions, e.tests, e.testedAt = false, false, nil, 0, never
+	delete(t.condemned, part)
+	return changes
+}
+
+// entry returns the entry of a part and adds it if there is none.
+func (t *Table) entry(now time.Duration, part uint64) *entry {
+	e := t.entries[part]
+	if e == nil {
+		if len(t.entries) >= t.cfg.MaxParts {
+			t.evict()
+		}
+		e = &entry{soundAt: never, ownSoundAt: never, testedAt: never, requestedAt: never, sentAt: never, changedAt: now}
+		t.entries[part] = e
+		if at, ok := t.lastSound(part); ok {
+			e.generation, e.soundAt, e.ownSoundAt = 1, at, at
+			e.changed(now)
+		}
+	}
+	return e
+}
+
+// evict removes the least incriminated part that changed least recently.
+func (t *Table) evict() {
+	var evicted uint64
+	var least *entry
+	for part, e := range t.entries {
+		if least == nil || cmp.Or(compareGuilt(e, least), cmp.Compare(e.changedAt, least.changedAt), cmp.Compare(part, evicted)) < 0 {
+			evicted, least = part, e
+		}
+	}
+	delete(t.entries, evicted)
+	delete(t.condemned, evicted)
+}
+
+// compareGuilt orders parts by the evidence against them, the least first.
+func compareGuilt(a, b *entry) int {
+	if a.condemned != b.condemned {
+		if b.condemned {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(moments(a.crashes), moments(b.crashes))
+}
+
+// addCrash records a crash and reports whether it says something new.
+func (e *entry) addCrash(now time.Duration, c crash) bool {
+	if c.at <= max(e.soundAt, e.ownSoundAt) || now-c.at >= evidenceTTL {
+		return false
+	}
+	if !e.condemned {
+		e.removeExpired(now)
+	}
+	var added bool
+	e.crashes, added = insertCrash(e.crashes, c)
+	if len(e.crashes) > maxCrashesPerPart {
+		e.crashes = slices.Delete(e.crashes, 0, 1)
+	}
+	return added
+}
+
+func (e *entry) removeExpired(now time.Duration) {
+	e.crashes = slices.DeleteFunc(e.crashes, func(c crash) bool { return now-c.at >= evidenceTTL })
+}
+
+// addRecent records a crash whatever its parts.
+func (t *Table) addRecent(now time.Duration, c crash) {
+	if now-c.at >= evidenceTTL {
+		return
+	}
+	t.recent, _ = insertCrash(t.recent, c)
+	if len(t.recent) > maxRecentCrashes {
+		t.recent = slices.Delete(t.recent, 0, 1)
+	}
+}
+
+// insertCrash adds a crash to a list ordered by time and reports whether it is new or newly
+// known to have had a begun attempt. Of several reports of one crash the earliest time
+// counts, because ages are too small by the transit time of a message.
+func insertCrash(list []crash, c crash) (result []crash, added bool) {
+	added = true
+	if i := slices.IndexFunc(list, func(old crash) bool { return sameCrash(old, c) }); i >= 0 {
+		old := list[i]
+		added = c.begun && !old.begun
+		list[i].begun = old.begun || c.begun
+		if old.at <= c.at {
+			return list, added
+		}
+		c.begun = list[i].begun
+		list = slices.Delete(list, i, i+1)
+	}
+	i, _ := slices.BinarySearchFunc(list, c.at, func(old crash, at time.Duration) int { return cmp.Compare(old.at, at) })
+	return slices.Insert(list, i, c), added
+}
+
+func sameCrash(a, b crash) bool {
+	return a.endpoint == b.endpoint && (a.at-b.at).Abs() < crashMergeWindow
+}
+
+// moments returns the number of moments at which the crashes happened.
+func moments(crashes []crash) int {
+	n, startedAt := 0, never
+	for _, c := range crashes {
+		if c.at-startedAt >= crashMoment {
+			n, startedAt = n+1, c.at
+		}
+	}
+	return n
+}
+
+// counted returns the crashes that count against the part: those in which its attempt had
+// begun, and those in which no attempt is known to have begun.
+func (t *Table) counted(e *entry) []crash {
+	list := make([]crash, 0, len(e.crashes))
+	for _, c := range e.crashes {
+		if c.begun || !slices.ContainsFunc(t.recent, func(r crash) bool { return r.begun && sameCrash(r, c) }) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// otherCrashes returns the number of known crashes without the part since the first with it.
+func (t *Table) otherCrashes(own []crash) int {
+	if len(own) == 0 {
+		return 0
+	}
+	other := 0
+	for _, c := range t.recent {
+		if c.at >= own[0].at && !slices.ContainsFunc(own, func(o crash) bool { return sameCrash(o, c) }) {
+			other++
+		}
+	}
+	return other
+}
+
+// requiredMoments returns the number of moments after which a part with the given counted
+// crashes is condemned. The more crashes happen without the part, the likelier it was
+// present by chance at the others.
+func (t *Table) requiredMoments(e *entry, counted []crash) int {
+	own, other := len(counted), t.otherCrashes(counted)
+	switch {
+	case e.seenSound() || other > 3*own:
+		return maxCrashMoments
+	case other > own:
+		return minCrashMoments + 1
+	}
+	return minCrashMoments
+}
+
+// judge condemns those of the parts against which the evidence suffices, and explains the
+// crashes of condemned parts anew. It is called after all changes of an observation or a
+// message, so that parts are compared on the same evidence.
+func (t *Table) judge(now time.Duration, parts []uint64, changes []Change) []Change {
+	for _, part := range parts {
+		e := t.entries[part]
+		if e == nil || e.condemned || moments(e.crashes) < minCrashMoments {
+			continue
+		}
+		if counted := t.counted(e); moments(counted) >= t.requiredMoments(e, counted) {
+			t.condemn(now, part, e, now)
+		}
+	}
+	if len(parts) > 0 && len(t.condemned) > 0 {
+		changes = t.explain(changes)
+	}
+	return changes
+}
+
+// condemn condemns a part, which is not refused before explain has seen it.
+func (t *Table) condemn(now time.Duration, part uint64, e *entry, at time.Duration) {
+	e.condemned, e.condemnedAt, e.explained, e.tests, e.testedAt = true, at, true, 0, never
+	t.condemned[part] = e
+	e.changed(now)
+}
+
+// explain decides for each condemned part whether its crashes are attributed to another.
+func (t *Table) explain(changes []Change) []Change {
+	for part, e := range t.condemned {
+		explained := t.explained(part, e)
+		if explained == e.explained {
+			continue
+		}
+		e.explained = explained
+		kind := Condemned
+		if explained {
+			kind = Explained
+		}
+		changes = append(changes, t.change(part, e, kind))
+	}
+	for part, e := range t.condemned {
+		e.companions = e.companions[:0]
+		for otherPart, other := range t.condemned {
+			if otherPart != part && other.refused() && len(e.crashes) == len(other.crashes) && containsAll(other.crashes, e.crashes) {
+				e.companions = append(e.companions, otherPart)
+			}
+		}
+	}
+	slices.SortStableFunc(changes, func(a, b Change) int { return cmp.Compare(a.Part, b.Part) })
+	return changes
+}
+
+func (t *Table) explained(part uint64, e *entry) bool {
+	if moments(e.crashes) >= minCrashMoments && moments(t.counted(e)) < minCrashMoments {
+		return true
+	}
+	for otherPart, other := range t.condemned {
+		if otherPart != part && other.explains(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// explains reports whether the crashes of another part are attributed to this one.
+func (e *entry) explains(other *entry) bool {
+	switch {
+	case len(other.crashes) == 0 || e.seenSound() && !other.seenSound():
+		return false
+	case other.seenSound() && !e.seenSound():
+		return containsAll(e.crashes, other.crashes)
+	}
+	return len(e.crashes) > len(other.crashes) && containsAll(e.crashes, other.crashes)
+}
+
+func containsAll(list, crashes []crash) bool {
+	for _, c := range crashes {
+		if !slices.ContainsFunc(list, func(other crash) bool { return sameCrash(other, c) }) {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Table) change(part uint64, e *entry, kind ChangeKind) Change {
+	return Change{Part: part, Kind: kind, Crashes: len(e.crashes), Moments: moments(e.crashes), OtherCrashes: t.otherCrashes(e.crashes), Tests: e.tests}
+}
+
+// Decide returns whether a request with the parts may be sent to an engine, and the
+// condemned part if there is one. It changes nothing but the time of the last request.
+func (t *Table) Decide(now time.Duration, parts []uint64) (Verdict, uint64) {
+	verdict, culprit := Allow, uint64(0)
+	for _, part := range parts {
+		e := t.entries[part]
+		if e == nil || !e.refused() || !containsParts(parts, e.companions) {
+			continue
+		}
+		e.requestedAt = now
+		if verdict == Allow || part < culprit {
+			culprit = part
+		}
+		verdict = Refuse
+	}
+	if verdict == Refuse && t.mayTest(now, parts, culprit) {
+		verdict = Test
+	}
+	return verdict, culprit
+}
+
+func containsParts(parts, wanted []uint64) bool {
+	for _, part := range wanted {
+		if !slices.Contains(parts, part) {
+			return false
+		}
+	}
+	return true
+}
+
+// Begin decides like Decide, immediately before the request is sent to an engine. If it
+// returns Test, it has counted the test, and the request must be sent.
+func (t *Table) Begin(now time.Duration, parts []uint64) (Verdict, uint64) {
+	verdict, culprit := t.Decide(now, parts)
+	if verdict != Test {
+		return verdict, culprit
+	}
+	for _, part := range parts {
+		if e := t.entries[part]; e != nil && e.refused() {
+			e.tests++
+			e.testedAt = now
+			e.changed(now)
+		}
+	}
+	return verdict, culprit
+}
+
+// Tick removes what has expired. It is called about once a second.
+func (t *Table) Tick(now time.Duration) []Change {
+	var changes []Change
+	for part, e := range t.entries {
+		if e.condemned {
+			if !e.alive(now) {
+				changes = append(changes, t.change(part, e, Cleared))
+				delete(t.entries, part)
+				delete(t.condemned, part)
+			}
+			continue
+		}
+		e.removeExpired(now)
+		if len(e.crashes) == 0 && now-e.changedAt >= evidenceTTL {
+			delete(t.entries, part)
+		}
+	}
+	t.recent = slices.DeleteFunc(t.recent, func(c crash) bool { return now-c.at >= evidenceTTL })
+	return changes
+}
+
+// alive reports whether a condemned part is still in use as far as this router knows.
+func (e *entry) alive(now time.Duration) bool {
+	return now-max(e.condemnedAt, e.testedAt, e.requestedAt) < condemnedTTL
+}
