--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -156,6 +156,8 @@
 	entries map[uint64]*entry
 	// condemned holds the condemned parts, explained ones too.
 	condemned map[uint64]*entry
+	// unsent holds the parts with sendsLeft.
+	unsent map[uint64]*entry
 	// recent are the known crashes, oldest first.
 	recent []crash
 	// sound and olderSound map parts to the times of their last sound runs at this router.
@@ -171,7 +173,8 @@
 func New(cfg Config) *Table {
 	cfg.MaxParts = cmp.Or(cfg.MaxParts, defaultMaxParts)
 	return &Table{
-		cfg: cfg, entries: map[uint64]*entry{}, condemned: map[uint64]*entry{}, sound: map[uint64]time.Duration{},
+		cfg: cfg, entries: map[uint64]*entry{}, condemned: map[uint64]*entry{}, unsent: map[uint64]*entry{},
+		sound: map[uint64]time.Duration{},
 	}
 }
 
@@ -188,7 +191,7 @@
 	for _, part := range parts {
 		e := t.entry(now, part)
 		if e.addCrash(now, c) {
-			e.changed(now)
+			t.markChanged(now, part, e)
 			touched = append(touched, part)
 		}
 	}
@@ -214,7 +217,7 @@
 		e.generation++
 		e.soundAt = now
 		changes = t.clear(part, e, changes)
-		e.changed(now)
+		t.markChanged(now, part, e)
 		touched = append(touched, part)
 	}
 	return t.judge(now, touched, changes)
@@ -262,7 +265,7 @@
 		t.entries[part] = e
 		if at, ok := t.lastSound(part); ok {
 			e.generation, e.soundAt, e.ownSoundAt = 1, at, at
-			e.changed(now)
+			t.markChanged(now, part, e)
 		}
 	}
 	return e
@@ -277,8 +280,13 @@
 			evicted, least = part, e
 		}
 	}
-	delete(t.entries, evicted)
-	delete(t.condemned, evicted)
+	t.remove(evicted)
+}
+
+func (t *Table) remove(part uint64) {
+	delete(t.entries, part)
+	delete(t.condemned, part)
+	delete(t.unsent, part)
 }
 
 // compareGuilt orders parts by the evidence against them, the least first.
@@ -328,7 +336,7 @@
 // counts, because ages are too small by the transit time of a message.
 func insertCrash(list []crash, c crash) (result []crash, added bool) {
 	added = true
-	if i := slices.IndexFunc(list, func(old crash) bool { return sameCrash(old, c) }); i >= 0 {
+	if i := findCrash(list, c); i >= 0 {
 		old := list[i]
 		added = c.begun && !old.begun
 		list[i].begun = old.begun || c.begun
@@ -338,8 +346,23 @@
 		c.begun = list[i].begun
 		list = slices.Delete(list, i, i+1)
 	}
-	i, _ := slices.BinarySearchFunc(list, c.at, func(old crash, at time.Duration) int { return cmp.Compare(old.at, at) })
-	return slices.Insert(list, i, c), added
+	return slices.Insert(list, search(list, c.at), c), added
+}
+
+// search returns the position of the first crash that is not before a time.
+func search(list []crash, at time.Duration) int {
+	i, _ := slices.BinarySearchFunc(list, at, func(c crash, at time.Duration) int { return cmp.Compare(c.at, at) })
+	return i
+}
+
+// findCrash returns the position of a report of the same crash, or -1.
+func findCrash(list []crash, c crash) int {
+	for i := search(list, c.at-crashMergeWindow); i < len(list) && list[i].at < c.at+crashMergeWindow; i++ {
+		if sameCrash(list[i], c) {
+			return i
+		}
+	}
+	return -1
 }
 
 func sameCrash(a, b crash) bool {
@@ -358,25 +381,40 @@
 }
 
 // counted returns the crashes that count against the part: those in which its attempt had
-// begun, and those in which no attempt is known to have begun.
+// begun or none is known to have begun, and, for a part that was seen sound, in which no
+// condemned part took part that never was.
 func (t *Table) counted(e *entry) []crash {
 	list := make([]crash, 0, len(e.crashes))
 	for _, c := range e.crashes {
-		if c.begun || !slices.ContainsFunc(t.recent, func(r crash) bool { return r.begun && sameCrash(r, c) }) {
+		if i := findCrash(t.recent, c); !c.begun && i >= 0 && t.recent[i].begun {
+			continue
+		}
+		if !e.seenSound() || !t.causedByPill(c) {
 			list = append(list, c)
 		}
 	}
 	return list
 }
 
+// causedByPill reports whether a condemned part that was never seen sound took part in a
+// crash.
+func (t *Table) causedByPill(c crash) bool {
+	for _, e := range t.condemned {
+		if !e.seenSound() && findCrash(e.crashes, c) >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // otherCrashes returns the number of known crashes without the part since the first with it.
 func (t *Table) otherCrashes(own []crash) int {
 	if len(own) == 0 {
 		return 0
 	}
 	other := 0
-	for _, c := range t.recent {
-		if c.at >= own[0].at && !slices.ContainsFunc(own, func(o crash) bool { return sameCrash(o, c) }) {
+	for _, c := range t.recent[search(t.recent, own[0].at):] {
+		if findCrash(own, c) < 0 {
 			other++
 		}
 	}
@@ -420,7 +458,7 @@
 func (t *Table) condemn(now time.Duration, part uint64, e *entry, at time.Duration) {
 	e.condemned, e.condemnedAt, e.explained, e.tests, e.testedAt = true, at, true, 0, never
 	t.condemned[part] = e
-	e.changed(now)
+	t.markChanged(now, part, e)
 }
 
 // explain decides for each condemned part whether its crashes are attributed to another.
@@ -474,7 +512,7 @@
 
 func containsAll(list, crashes []crash) bool {
 	for _, c := range crashes {
-		if !slices.ContainsFunc(list, func(other crash) bool { return sameCrash(other, c) }) {
+		if findCrash(list, c) < 0 {
 			return false
 		}
 	}
@@ -526,7 +564,7 @@
 		if e := t.entries[part]; e != nil && e.refused() {
 			e.tests++
 			e.testedAt = now
-			e.changed(now)
+			t.markChanged(now, part, e)
 		}
 	}
 	return verdict, culprit
@@ -539,14 +577,13 @@
 		if e.condemned {
 			if !e.alive(now) {
 				changes = append(changes, t.change(part, e, Cleared))
-				delete(t.entries, part)
-				delete(t.condemned, part)
+				t.remove(part)
 			}
 			continue
 		}
 		e.removeExpired(now)
 		if len(e.crashes) == 0 && now-e.changedAt >= evidenceTTL {
-			delete(t.entries, part)
+			t.remove(part)
 		}
 	}
 	t.recent = slices.DeleteFunc(t.recent, func(c crash) bool { return now-c.at >= evidenceTTL })
--- a/decision/poison/report.go
+++ b/decision/poison/report.go
@@ -48,8 +48,11 @@
 	TestAge time.Duration
 }
 
-// changed makes the next messages carry the part.
-func (e *entry) changed(now time.Duration) { e.changedAt, e.sendsLeft = now, sendsPerChange }
+// markChanged makes the next messages carry the part.
+func (t *Table) markChanged(now time.Duration, part uint64, e *entry) {
+	e.changedAt, e.sendsLeft = now, sendsPerChange
+	t.unsent[part] = e
+}
 
 // Pending returns at most limit reports for the next message: condemned parts, and parts
 // that other routers may not know yet, those with most evidence first.
@@ -60,11 +63,13 @@
 		*entry
 	}
 	var condemned, changed []candidate
-	for part, e := range t.entries {
-		switch {
-		case e.condemned && e.alive(now):
+	for part, e := range t.condemned {
+		if e.alive(now) {
 			condemned = append(condemned, candidate{part, 0, e})
-		case !e.condemned && e.sendsLeft > 0:
+		}
+	}
+	for part, e := range t.unsent {
+		if !e.condemned {
 			changed = append(changed, candidate{part, moments(e.crashes), e})
 		}
 	}
@@ -79,6 +84,9 @@
 	reports := make([]Report, 0, len(chosen))
 	for _, c := range chosen {
 		c.sentAt, c.sendsLeft = now, max(0, c.sendsLeft-1)
+		if c.sendsLeft == 0 {
+			delete(t.unsent, c.part)
+		}
 		reports = append(reports, c.report(now, c.part))
 	}
 	return reports
@@ -134,7 +142,7 @@
 		own := crash{c.Endpoint, now - c.Age, c.Begun}
 		t.addRecent(now, own)
 		if e.addCrash(now, own) {
-			e.changed(now)
+			t.markChanged(now, r.Part, e)
 			touched = true
 		}
 	}
@@ -151,10 +159,11 @@
 	switch {
 	case r.Generation > e.generation:
 		e.generation, e.soundAt = r.Generation, soundAt
-		e.changed(now)
+		t.markChanged(now, r.Part, e)
 		return t.clear(r.Part, e, changes), true
 	case r.Generation < e.generation:
 		e.sendsLeft = max(e.sendsLeft, sendsToStale)
+		t.unsent[r.Part] = e
 	case r.Generation > 0:
 		e.soundAt = min(e.soundAt, soundAt)
 	}
@@ -175,7 +184,7 @@
 	switch {
 	case r.Tests > e.tests:
 		e.tests, e.testedAt = r.Tests, testedAt
-		e.changed(now)
+		t.markChanged(now, r.Part, e)
 	case r.Tests == e.tests:
 		e.testedAt = min(e.testedAt, testedAt)
 	}
