Tests of responses that end with their connection

A response with neither a length nor chunks is complete when its connection is closed, incomplete when it is reset, and a stream incomplete when it ends inside an event, in its last line ends too. They fail when a reset counts as the end, when the connection is used again, when a truncated event is accepted, when a single line end completes an event, and when the caller's connection ends regularly after an incomplete response.

--- /dev/null
+++ b/cmd/arbutus-front/unframed_test.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutusline/arbutusline/standin/platform"
+)
+
+// unframedEndpoint answers the next faultsLeft requests with a response that has neither a
+// length nor chunks and ends with its connection.
+type unframedEndpoint struct {
+	*platform.Endpoint
+	faultsLeft *atomic.Int32
+	// attempts counts all requests.
+	attempts *atomic.Int32
+	body     string
+	reset    bool
+}
+
+// ServeHTTP implements http.Handler.
+func (e *unframedEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	if id == "" {
+		e.Endpoint.ServeHTTP(w, r)
+		return
+	}
+	e.attempts.Add(1)
+	if e.faultsLeft.Add(-1) < 0 {
+		e.Endpoint.ServeHTTP(w, r)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body) // A failure shows in the response.
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // Tests serve HTTP/1.1, which supports Hijack.
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s.%s\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n\r\n%s", id, e.ID, id, e.body)
+	if e.reset {
+		// A reset that overtakes the body would leave the caller without its begin.
+		time.Sleep(20 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// unframedCluster is a cluster with one router and two endpoints, of which the first one
+// to get a request answers without a length.
+func unframedCluster(t *testing.T, endpoint func(string) *platform.Endpoint, body string, reset bool) (*testRouter, *atomic.Int32) {
+	c := newCluster(t)
+	faultsLeft, attempts := &atomic.Int32{}, &atomic.Int32{}
+	faultsLeft.Store(1)
+	for _, id := range []string{"u1", "u2"} {
+		e := endpoint(id)
+		e.SetWeightsVersion(1)
+		server := httptest.NewServer(&unframedEndpoint{e, faultsLeft, attempts, body, reset})
+		t.Cleanup(server.Close)
+		c.endpointServers[id] = server
+		c.registerEndpoint(e, "ready")
+	}
+	r := c.startRouter()
+	c.eventually("the router knows the endpoints", func() bool { return len(r.fleetView().EndpointsByID) == 2 })
+	return r, attempts
+}
+
+// events returns the events first to last of the stand-in's streams with the given line
+// end.
+func events(first, last int, lineEnd string) string {
+	var b strings.Builder
+	for n := first; n <= last; n++ {
+		fmt.Fprintf(&b, "id: %d%sdata: token %d%s%s", n, lineEnd, n, lineEnd, lineEnd)
+	}
+	return b.String()
+}
+
+// Guards against streams without length and chunks that look complete to the caller
+// although they were reset or ended inside an event, and against streams that are broken
+// off although their connection was closed after the last event.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		body     string
+		reset    bool
+		complete bool
+	}{
+		"after the last event":                  {body: events(1, 10, "\n"), complete: true},
+		"after the last event, CRLF":            {body: events(1, 10, "\r\n"), complete: true},
+		"reset after an event":                  {body: events(1, 5, "\n"), reset: true},
+		"reset after the last event":            {body: events(1, 10, "\n"), reset: true},
+		"reset before the first event":          {reset: true},
+		"inside the first event":                {body: "id: 1\nda"},
+		"inside an event":                       {body: events(1, 5, "\n") + "id: 6\nda"},
+		"before the blank line":                 {body: strings.TrimSuffix(events(1, 6, "\n"), "\n")},
+		"inside the line end of the blank line": {body: strings.TrimSuffix(events(1, 6, "\r\n"), "\n")},
+		"before the blank line, CRLF":           {body: strings.TrimSuffix(events(1, 6, "\r\n"), "\r\n")},
+		"inside the last line end, CRLF":        {body: strings.TrimSuffix(events(1, 6, "\r\n"), "\n\r\n")},
+	} {
+		for _, route := range []string{"/ask/", "/audit/"} {
+			t.Run(name+" "+route, func(t *testing.T) {
+				r, attempts := unframedCluster(t, engineEndpoint, test.body, test.reset)
+				response := r.sendPrompt("r1", route+"x")
+				if test.complete {
+					assertAllEvents(t, response)
+					assert.Equal(t, response.body, test.body)
+					assert.Equal(t, attempts.Load(), int32(1))
+					return
+				}
+				if route == "/ask/" {
+					assertAllEvents(t, response)
+					assert.Equal(t, attempts.Load(), int32(2))
+					return
+				}
+				assert.Assert(t, response.err != nil || response.status == http.StatusBadGateway, "the response looks complete: %+v", response)
+				assert.Equal(t, attempts.Load(), int32(1))
+			})
+		}
+	}
+}
+
+// Guards against responses of plain services without length that are delivered as complete
+// although their connection was reset.
+func TestResponseThatEndsWithItsConnection(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		for _, route := range []string{"/look/", "/post/"} {
+			t.Run(fmt.Sprintf("%s reset=%t", route, reset), func(t *testing.T) {
+				r, attempts := unframedCluster(t, appEndpoint, "half of the", reset)
+				response := r.send("r1", map[string]string{"/look/": http.MethodGet, "/post/": http.MethodPost}[route], route+"x", "")
+				assert.NilError(t, response.err)
+				switch {
+				case !reset:
+					assert.Equal(t, response.body, "half of the")
+					assert.Equal(t, response.status, http.StatusOK)
+					assert.Equal(t, attempts.Load(), int32(1))
+				case route == "/look/":
+					assert.Equal(t, response.body, "answer to r1")
+					assert.Equal(t, attempts.Load(), int32(2))
+				default:
+					assert.Equal(t, response.status, http.StatusBadGateway)
+					assert.Equal(t, attempts.Load(), int32(1))
+				}
+			})
+		}
+	}
+}
