Deliver streams with blank lines after their last event

A caller of a stream that ended with one more line end than its last event needs got a closed connection without a regular end; a resumable one was sent to a second endpoint, and the line end was lost. The relay took everything behind the last event for the begin of another. Blank lines are no part of an event, so they are forwarded and the stream is complete. The four cases "after an additional line end" of TestStreamThatEndsWithItsConnection failed before.

No endpoint has been seen to send such a stream.

--- a/cmd/arbutus-front/unframed_test.go
+++ b/cmd/arbutus-front/unframed_test.go
@@ -93,6 +93,8 @@
 	}{
 		"after the last event":                  {body: events(1, 10, "\n"), complete: true},
 		"after the last event, CRLF":            {body: events(1, 10, "\r\n"), complete: true},
+		"after an additional line end":          {body: events(1, 10, "\n") + "\n", complete: true},
+		"after an additional line end, CRLF":    {body: events(1, 10, "\r\n") + "\r\n", complete: true},
 		"reset after an event":                  {body: events(1, 5, "\n"), reset: true},
 		"reset after the last event":            {body: events(1, 10, "\n"), reset: true},
 		"reset before the first event":          {reset: true},
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -199,6 +199,9 @@
 		return result{kind: resultIncompleteResponse, status: response.Status, err: errTruncatedEvent}
 	}
 	a.sendHeader(response)
+	if _, err := a.w.Write(scanner.Rest()); err != nil {
+		return result{kind: resultCallerDisconnected, err: err}
+	}
 	a.flush()
 	return result{kind: resultDone, status: response.Status, header: response.Header}
 }
--- a/sse/sse.go
+++ b/sse/sse.go
@@ -61,8 +61,13 @@
 }
 
 // IncompleteBytes returns the number of bytes read after the last event that Next
-// returned: at the end of the stream, the length of an incomplete event.
-func (s *Scanner) IncompleteBytes() int { return len(s.buf) - s.consumedBytes }
+// returned: at the end of the stream, the length of an incomplete event. Blank lines
+// between events do not count.
+func (s *Scanner) IncompleteBytes() int { return len(bytes.TrimLeft(s.Rest(), "\r\n")) }
+
+// Rest returns the bytes read after the last event that Next returned. They are valid
+// until the next call of Next.
+func (s *Scanner) Rest() []byte { return s.buf[s.consumedBytes:] }
 
 func (s *Scanner) fill() error {
 	if s.consumedBytes > 0 {
--- a/sse/sse_test.go
+++ b/sse/sse_test.go
@@ -49,3 +49,17 @@
 	_, err := s.Next()
 	assert.Equal(t, err, io.EOF)
 }
+
+// Guards against taking blank lines after the last event for an incomplete event, and the
+// begin of a line after them for a complete one.
+func TestBlankLinesAfterTheLastEvent(t *testing.T) {
+	for text, incomplete := range map[string]int{"": 0, "\n": 0, "\r\n": 0, "\r": 0, "\nid: 2": len("id: 2"), "id: 2\n": len("id: 2\n")} {
+		s := NewScanner(iotest.OneByteReader(strings.NewReader("id: 1\n\n" + text)))
+		_, err := s.Next()
+		assert.NilError(t, err)
+		_, err = s.Next()
+		assert.Equal(t, err, io.EOF)
+		assert.Equal(t, s.IncompleteBytes(), incomplete, "%q", text)
+		assert.Equal(t, string(s.Rest()), text)
+	}
+}
