Reset the connection of an HTTP/1.0 caller whose stream is interrupted

Such a caller gets a stream without chunks, and the regular close after an interrupted stream made it look complete. The connection is reset now. TestInterruptedStreamIsIncompleteWithoutChunks failed before: the first five of ten events arrived with a regular end.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -36,8 +36,9 @@
 		"request", "route", "service", "reason", "endpoint", "wait_ms", "prefill_ms", "margin_ms", "objective_ms", "left_ms",
 		"retry_after_ms",
 	},
-	"failed to write response to caller": {"request", "error"},
-	"failed to flush events to caller":   {"request", "error"},
+	"failed to write response to caller":   {"request", "error"},
+	"failed to flush events to caller":     {"request", "error"},
+	"failed to reset connection of caller": {"request", "error"},
 
 	// Endpoints.
 	"endpoint added or changed state":             {"endpoint", "service", "address", "draining"},
--- a/cmd/arbutus-front/unframed_test.go
+++ b/cmd/arbutus-front/unframed_test.go
@@ -152,3 +152,33 @@
 		}
 	}
 }
+
+// Guards against a caller with HTTP/1.0, to which responses go without chunks, that takes
+// an interrupted stream for a complete one.
+func TestInterruptedStreamIsIncompleteWithoutChunks(t *testing.T) {
+	for name, test := range map[string]struct {
+		body     string
+		complete bool
+	}{
+		"interrupted": {body: events(1, 5, "\n") + "id: 6\nda"},
+		"complete":    {body: events(1, 10, "\n"), complete: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := unframedCluster(t, engineEndpoint, test.body, false)
+			conn, err := net.Dial("tcp", strings.TrimPrefix(r.callerURL, "http://"))
+			assert.NilError(t, err)
+			defer func() { assert.Check(t, conn.Close()) }()
+			_, err = io.WriteString(conn, "POST /audit/x HTTP/1.0\r\nHost: "+platform.SampleHostname+"\r\nRequest-Id: r1\r\n"+
+				"Deadline-Ms: 5000\r\nAuthorization: Token key-1\r\nModel: m\r\nToken-Count: 1460,200\r\n"+
+				"Prefix-Hash: 5c1e07a2:800,e4402b7d:250\r\nContent-Length: 6\r\n\r\nprompt")
+			assert.NilError(t, err)
+			text, err := io.ReadAll(conn)
+			if !test.complete {
+				assert.Assert(t, err != nil, "the response looks complete: %q", text)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Assert(t, strings.HasSuffix(string(text), "\r\n\r\n"+test.body), "%q", text)
+		})
+	}
+}
--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -178,10 +178,32 @@
 	report := g.relay.Run(r.Context(), w, req)
 	g.logReport(req, report)
 	if report.Incomplete {
-		panic(http.ErrAbortHandler) // Closes the connection without completing the response.
+		g.abort(w, r)
 	}
 }
 
+// abort closes the connection without completing the response.
+func (g *Ingress) abort(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		// Without chunks a regular close would complete the response.
+		if err := resetConnection(w); err != nil {
+			g.log.WithField("request", r.Header.Get(platform.HeaderRequestID)).WithError(err).Debug("failed to reset connection of caller")
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func resetConnection(w http.ResponseWriter) error {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		err = tcp.SetLinger(0)
+	}
+	return errors.CombineErrors(err, conn.Close())
+}
+
 // refusal is an error response of the router to a request that it did not run.
 type refusal struct {
 	status     int
