Count comments in a stream not as output of the engine

A queued request with comments is then not withdrawn from superseded weights and no longer counted in the engine's load, a stalled stream is kept alive by them, and they prove a prompt part sound that crashes engines.

Cause: the scanner returns comments as events, and the relay took each event for output. Change: the scanner marks events without a field; the relay forwards them and counts them for nothing.

--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -183,7 +183,9 @@
 		if err != nil {
 			return a.resultOfError(ctx, err)
 		}
-		a.onEvent()
+		if !event.Comment {
+			a.onEvent()
+		}
 		if a.alreadySent(event.ID) {
 			continue
 		}
@@ -228,7 +230,8 @@
 	return err == nil && n <= last
 }
 
-// onEvent records that an event arrived and restarts the silence timer.
+// onEvent records that an event of the engine's output arrived and restarts the silence
+// timer.
 func (a *attempt) onEvent() {
 	a.eventCount++
 	a.recordPrefillEnded(true)
--- a/sse/sse.go
+++ b/sse/sse.go
@@ -23,6 +23,9 @@
 	Raw []byte
 	// ID is the value of the event's id field, or "".
 	ID string
+	// Comment is true if the event has no field. Servers send comments to keep a
+	// connection open.
+	Comment bool
 }
 
 // Scanner reads complete events. It never returns an incomplete event at the end of
@@ -49,7 +52,7 @@
 		if n := firstEventLength(s.buf[s.consumedBytes:]); n > 0 {
 			raw := s.buf[s.consumedBytes : s.consumedBytes+n]
 			s.consumedBytes += n
-			return Event{Raw: raw, ID: eventID(raw)}, nil
+			return Event{Raw: raw, ID: eventID(raw), Comment: !hasField(raw)}, nil
 		}
 		if s.err != nil {
 			return Event{}, s.err
@@ -113,3 +116,12 @@
 	}
 	return ""
 }
+
+func hasField(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
--- a/sse/sse_test.go
+++ b/sse/sse_test.go
@@ -63,3 +63,12 @@
 		assert.Equal(t, string(s.Rest()), text)
 	}
 }
+
+// Guards against taking comments, which also come while a request is queued, for output.
+func TestCommentsAreNoOutput(t *testing.T) {
+	for text, comment := range map[string]bool{":ping\n\n": true, ": a\r\n:b\r\n\r\n": true, "\n\n": true, ":ping\ndata: x\n\n": false, "id: 1\n\n": false} {
+		event, err := NewScanner(strings.NewReader(text)).Next()
+		assert.NilError(t, err)
+		assert.Equal(t, event.Comment, comment, "%q", text)
+	}
+}
