Take a stream without length, chunks and events for incomplete

Callers could get status 200 with an empty body that looks complete: an answer may have neither length nor chunks and end with its connection, and an engine that crashes when it begins to answer may close the connection regularly after the head. Such a crash was also no evidence against the prompt part that causes it, and cleared older reports.

Cause: the end of the connection ended the stream at the boundary of an event, and that there was none did not matter. No sound stream of a prompt is empty, except one that continues after its last event.

Change: such a stream is incomplete, and counts as a crash after the head.

TestStreamWithoutLengthAndEventsIsIncomplete: before, the caller gets 200; after, 502 on a route that may not run twice, and the whole stream of another engine on one that may.

--- a/cmd/arbutus-front/unframed_test.go
+++ b/cmd/arbutus-front/unframed_test.go
@@ -182,3 +182,20 @@
 		})
 	}
 }
+
+// Guards against taking the crash of an engine that has sent the head of a stream without
+// length or chunks for a complete stream without events.
+func TestStreamWithoutLengthAndEventsIsIncomplete(t *testing.T) {
+	router, attempts := unframedCluster(t, engineEndpoint, "", false)
+	r := router.sendPrompt("cut", "/audit/x")
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusBadGateway)
+	assert.Equal(t, attempts.Load(), int32(1))
+
+	router, attempts = unframedCluster(t, engineEndpoint, ":ping\n\n", false)
+	r = router.sendPrompt("cut", "/ask/x")
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusOK)
+	assert.Equal(t, len(r.eventIDs()), 10)
+	assert.Equal(t, attempts.Load(), int32(2))
+}
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -286,7 +286,7 @@
 	}).WithError(x.lastResult.err).Warn("attempt failed")
 	if x.lastResult.kind == resultIncompleteResponse && x.lastResult.eventCount == 0 {
 		x.reportCrash(c.Endpoint.ID)
-		if upstream.ConnectionLost(x.lastResult.err) || errors.Is(x.lastResult.err, errTruncatedEvent) {
+		if upstream.ConnectionLost(x.lastResult.err) || errors.IsAny(x.lastResult.err, errTruncatedEvent, errNoEvents) {
 			x.observeCrash(c.Endpoint.ID, x.lastResult.headReceived)
 		}
 	}
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -27,6 +27,7 @@
 	errMovedForWeightsChange = errors.New("stream moved because the endpoint changes its weights")
 	errWeightsExpired        = errors.New("request withdrawn because it had not begun when the endpoint's weights expired")
 	errResponseTimeout       = errors.New("endpoint did not respond in time")
+	errNoEvents              = errors.New("connection ended after the head of a stream without length or chunks")
 	errTruncatedEvent        = errors.New("stream ended in the middle of an event")
 )
 
@@ -203,8 +204,12 @@
 }
 
 func (a *attempt) finishStream(scanner *sse.Scanner, response *upstream.Response) result {
-	if scanner.IncompleteBytes() > 0 {
+	switch {
+	case scanner.IncompleteBytes() > 0:
 		return result{kind: resultIncompleteResponse, status: response.Status, err: errTruncatedEvent}
+	case !response.SelfDelimited && a.eventCount == 0 && a.lastEventID == "":
+		// An engine that crashes when it begins to answer may close the connection.
+		return result{kind: resultIncompleteResponse, status: response.Status, err: errNoEvents}
 	}
 	a.sendHeader(response)
 	if _, err := a.w.Write(scanner.Rest()); err != nil {
