Take a publication from before the start of a router for 5 s old

Cause: the time of a publication is when a router learned of it. Running routers tell each other the earliest time; after a restart of all of them none knows it, and each counted from its own start.

Change: the first version of a model that a process learns of is taken for 5 s old until a router that knows tells its age; the assumption itself is not passed on. Requests then start on superseded weights for 2 s after the start, less than the time after which a started router is bound by the deadline again.

TestRestartedRouterKeepsTheWeightsDeadline: before, a request runs on weights that expired before the start (200); after, it is refused (503). TestPublishTimeOfAnotherRouterReplacesTheAssumedOne holds that a known time wins.

--- a/cmd/arbutus-front/weights_test.go
+++ b/cmd/arbutus-front/weights_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/arbutusline/arbutusline/decision/lease"
 	"github.com/arbutusline/arbutusline/standin/platform"
 )
 
@@ -179,6 +180,40 @@
 	close(engine.Queue)
 }
 
+// Guards against routers that all restart while engines have superseded weights, and
+// count the age of the newer version from their own start.
+func TestRestartedRouterKeepsTheWeightsDeadline(t *testing.T) {
+	c := newCluster(t)
+	c.relaySettings = `"weights_deadline": "2s"`
+	engine := engineEndpoint("e1")
+	engine.SetWeightsVersion(1)
+	server := httptest.NewServer(&orderRefuser{engine: engine, refusing: true})
+	t.Cleanup(server.Close)
+	c.endpointServers[engine.ID] = server
+	c.registerEndpoint(engine, "ready")
+	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+	// Another holder of the lease gives no orders.
+	c.store.Put("arbutus-leases", "orders", lease.Record{Holder: "silent", FencingToken: 1})
+	router := c.startRouter()
+	assert.Equal(t, router.sendPrompt("after", "/audit/x").status, http.StatusServiceUnavailable)
+	assert.Equal(t, engine.BegunStreams(), 0)
+}
+
+// Guards against keeping an assumed publish time when another router knows the time.
+func TestPublishTimeOfAnotherRouterReplacesTheAssumedOne(t *testing.T) {
+	c := newCluster(t)
+	c.startEndpoint(engineEndpoint("engine-1"))
+	first := c.startRouter()
+	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+	known := func(r *testRouter) bool {
+		versions := r.fleetView().PublishedWeightsVersions["m"]
+		return len(versions) > 0 && versions[len(versions)-1].Version == 2 && !versions[len(versions)-1].Assumed
+	}
+	c.eventually("the running router knows the time", func() bool { return known(first) })
+	second := c.startRouter()
+	c.eventually("the started router learns the time", func() bool { return known(second) })
+}
+
 // Guards against engines that load a superseded version because a newer one was
 // published while their change was being prepared: each then needed a second load.
 func TestChangeInPreparationLoadsTheLatestWeights(t *testing.T) {
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -171,6 +171,9 @@
 	// PublishedAt is the earliest time at which this router or another one learned
 	// of the version.
 	PublishedAt time.Time
+	// Assumed is true if the version was published before this router started and no
+	// other router has told when. PublishedAt is then an assumption.
+	Assumed bool
 }
 
 // SupersededAt returns when the first version newer than the given one was
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -19,6 +19,11 @@
 // It covers the delay of an exchange between routers.
 const publishTimeTolerance = 200 * time.Millisecond
 
+// assumedPublishAge is the age of a model's first known version until another router
+// tells it. After a restart of all routers none knows it; too low an age would let requests
+// begin on weights that expired before.
+const assumedPublishAge = 5 * time.Second
+
 // retainedCheckInterval is the time between two checks for retained endpoints whose
 // grace period has ended.
 const retainedCheckInterval = 200 * time.Millisecond
@@ -113,8 +118,12 @@
 			continue
 		}
 		if version > out[model] {
+			published := fleet.PublishedWeightsVersion{Version: version, PublishedAt: time.Now()}
+			if out[model] == 0 {
+				published.PublishedAt, published.Assumed = published.PublishedAt.Add(-assumedPublishAge), true
+			}
 			out[model] = version
-			d.recordPublishTimeLocked(model, version, time.Now())
+			d.recordPublishTimeLocked(model, published)
 			d.log.WithFields(logrus.Fields{"model": model, "weights": version}).Info("weights version published")
 		}
 	}
@@ -122,21 +131,22 @@
 }
 
 // recordPublishTimeLocked records when a version was published, keeping the earliest
-// time. It reports whether the record changed. The versions stay in ascending order.
-// The caller holds mu.
-func (d *Directory) recordPublishTimeLocked(model string, version uint64, at time.Time) bool {
+// time. A time that a router knows replaces an assumed one. It reports whether the record
+// changed. The versions stay in ascending order. The caller holds mu.
+func (d *Directory) recordPublishTimeLocked(model string, published fleet.PublishedWeightsVersion) bool {
 	versions := d.publishedWeightsVersions[model]
-	i, found := slices.BinarySearchFunc(versions, version, func(p fleet.PublishedWeightsVersion, v uint64) int {
+	i, found := slices.BinarySearchFunc(versions, published.Version, func(p fleet.PublishedWeightsVersion, v uint64) int {
 		return cmp.Compare(p.Version, v)
 	})
 	if found {
-		if at.After(versions[i].PublishedAt.Add(-publishTimeTolerance)) {
+		earlier := !published.PublishedAt.After(versions[i].PublishedAt.Add(-publishTimeTolerance))
+		if published.Assumed || !versions[i].Assumed && !earlier {
 			return false
 		}
-		versions[i].PublishedAt = at
+		versions[i] = published
 		return true
 	}
-	versions = slices.Insert(versions, i, fleet.PublishedWeightsVersion{Version: version, PublishedAt: at})
+	versions = slices.Insert(versions, i, published)
 	d.publishedWeightsVersions[model] = versions[max(0, len(versions)-maxPublishedWeightsVersions):]
 	return true
 }
@@ -152,7 +162,7 @@
 func (d *Directory) MergePublishTime(model string, version uint64, age time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.recordPublishTimeLocked(model, version, time.Now().Add(-age)) {
+	if d.recordPublishTimeLocked(model, fleet.PublishedWeightsVersion{Version: version, PublishedAt: time.Now().Add(-age)}) {
 		d.publishViewLocked()
 	}
 }
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -76,7 +76,7 @@
 	var out []*arbutuspb.NamedWeights
 	for model, versions := range x.directory.PublishedWeightsVersions() {
 		for _, v := range versions {
-			if age := time.Since(v.PublishedAt); age < publishTimeLifetime {
+			if age := time.Since(v.PublishedAt); age < publishTimeLifetime && !v.Assumed {
 				out = append(out, &arbutuspb.NamedWeights{Model: model, Version: v.Version, AgeMs: uint32(age.Milliseconds())})
 			}
 		}
