decision/poison: explain crashes one by one, ask for more evidence beside other crashes

Change: three moments suffice only if at most a third of the crashes since the first happened without the part, and each crash of a part may be explained by another condemned part.

--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -10,16 +10,18 @@
 // crashes after the last proof count, and parts in frequent use are thus cleared all the
 // time. Crashes at about the same time count once, because many engines may crash at once
 // for a common reason. A part is condemned after three such moments if it was never seen
-// sound and takes part in at least half of the known crashes since the first, else after up
+// sound and took part in at least two of three known crashes since its first, else after up
 // to five.
 //
-// The crashes of a condemned part may be explained by another that takes part in all of
-// them and in more, or that unlike it was never seen sound. Such a part is not refused.
+// A crash of a condemned part may be explained by another condemned part that took part in
+// it and in more crashes, or that unlike it was never seen sound. A part whose crashes are
+// all explained is not refused.
 // Parts that always occurred together cannot be told apart: a request is refused if it has
 // all of them, so that requests with some of them show which is sound.
 //
 // Routers exchange their records, which can be merged in any order and more than once. A
-// condemned part is tested at growing intervals by one request of one router.
+// condemned part is tested twice, at a growing interval, each time by one request of one
+// router; it is cleared by a sound run or when no more requests with it come.
 //
 // Table is a pure state machine and not safe for concurrent use.
 package poison
@@ -156,6 +158,8 @@
 	entries map[uint64]*entry
 	// condemned holds the condemned parts, explained ones too.
 	condemned map[uint64]*entry
+	// unexplained means that condemned parts or their crashes changed since explain ran.
+	unexplained bool
 	// unsent holds the parts with sendsLeft.
 	unsent map[uint64]*entry
 	// recent are the known crashes, oldest first.
@@ -251,6 +255,7 @@
 	}
 	e.condemned, e.explained, e.companions, e.tests, e.testedAt = false, false, nil, 0, never
 	delete(t.condemned, part)
+	t.unexplained = true
 	return changes
 }
 
@@ -284,8 +289,11 @@
 }
 
 func (t *Table) remove(part uint64) {
+	if t.condemned[part] != nil {
+		delete(t.condemned, part)
+		t.unexplained = true
+	}
 	delete(t.entries, part)
-	delete(t.condemned, part)
 	delete(t.unsent, part)
 }
 
@@ -427,9 +435,9 @@
 func (t *Table) requiredMoments(e *entry, counted []crash) int {
 	own, other := len(counted), t.otherCrashes(counted)
 	switch {
-	case e.seenSound() || other > 3*own:
+	case e.seenSound() || other > own:
 		return maxCrashMoments
-	case other > own:
+	case 2*other > own:
 		return minCrashMoments + 1
 	}
 	return minCrashMoments
@@ -441,28 +449,37 @@
 func (t *Table) judge(now time.Duration, parts []uint64, changes []Change) []Change {
 	for _, part := range parts {
 		e := t.entries[part]
-		if e == nil || e.condemned || moments(e.crashes) < minCrashMoments {
+		switch {
+		case e == nil:
+			continue
+		case e.condemned:
+			t.unexplained = true
+			continue
+		case moments(e.crashes) < minCrashMoments:
 			continue
 		}
 		if counted := t.counted(e); moments(counted) >= t.requiredMoments(e, counted) {
 			t.condemn(now, part, e, now)
 		}
 	}
-	if len(parts) > 0 && len(t.condemned) > 0 {
-		changes = t.explain(changes)
-	}
-	return changes
+	return t.explain(changes)
 }
 
 // condemn condemns a part, which is not refused before explain has seen it.
 func (t *Table) condemn(now time.Duration, part uint64, e *entry, at time.Duration) {
 	e.condemned, e.condemnedAt, e.explained, e.tests, e.testedAt = true, at, true, 0, never
 	t.condemned[part] = e
+	t.unexplained = true
 	t.markChanged(now, part, e)
 }
 
-// explain decides for each condemned part whether its crashes are attributed to another.
+// explain decides for each condemned part whether its crashes are attributed to another, if
+// anything changed about condemned parts.
 func (t *Table) explain(changes []Change) []Change {
+	if !t.unexplained {
+		return changes
+	}
+	t.unexplained = false
 	for part, e := range t.condemned {
 		explained := t.explained(part, e)
 		if explained == e.explained {
@@ -491,23 +508,27 @@
 	if moments(e.crashes) >= minCrashMoments && moments(t.counted(e)) < minCrashMoments {
 		return true
 	}
-	for otherPart, other := range t.condemned {
-		if otherPart != part && other.explains(e) {
-			return true
+	for _, c := range e.crashes {
+		if !t.explainedByOther(part, e, c) {
+			return false
 		}
 	}
-	return false
+	return len(e.crashes) > 0
 }
 
-// explains reports whether the crashes of another part are attributed to this one.
-func (e *entry) explains(other *entry) bool {
-	switch {
-	case len(other.crashes) == 0 || e.seenSound() && !other.seenSound():
-		return false
-	case other.seenSound() && !e.seenSound():
-		return containsAll(e.crashes, other.crashes)
+// explainedByOther reports whether a crash of a condemned part is attributed to another, as
+// one that takes part in more crashes or that unlike it was never seen sound.
+func (t *Table) explainedByOther(part uint64, e *entry, c crash) bool {
+	for otherPart, other := range t.condemned {
+		if otherPart == part || other.seenSound() && !e.seenSound() {
+			continue
+		}
+		stronger := !other.seenSound() && e.seenSound() || len(other.crashes) > len(e.crashes)
+		if stronger && findCrash(other.crashes, c) >= 0 {
+			return true
+		}
 	}
-	return len(e.crashes) > len(other.crashes) && containsAll(e.crashes, other.crashes)
+	return false
 }
 
 func containsAll(list, crashes []crash) bool {
@@ -587,7 +608,7 @@
 		}
 	}
 	t.recent = slices.DeleteFunc(t.recent, func(c crash) bool { return now-c.at >= evidenceTTL })
-	return changes
+	return t.explain(changes)
 }
 
 // alive reports whether a condemned part is still in use as far as this router knows.
