decision/poison: one rule for parts seen sound, and histories for it

Cause: two rules cleared a part seen sound of the same crashes, so a fault planted in either stayed unseen by the histories; so did one in the fourth moment.

Change: crashes with a condemned part that was never seen sound are left out of what counts against a part that was, and the second rule is gone. Two histories.

--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -516,15 +516,14 @@
 	return len(e.crashes) > 0
 }
 
-// explainedByOther reports whether a crash of a condemned part is attributed to another, as
-// one that takes part in more crashes or that unlike it was never seen sound.
+// explainedByOther reports whether a crash of a condemned part is attributed to another that
+// takes part in more crashes.
 func (t *Table) explainedByOther(part uint64, e *entry, c crash) bool {
 	for otherPart, other := range t.condemned {
 		if otherPart == part || other.seenSound() && !e.seenSound() {
 			continue
 		}
-		stronger := !other.seenSound() && e.seenSound() || len(other.crashes) > len(e.crashes)
-		if stronger && findCrash(other.crashes, c) >= 0 {
+		if len(other.crashes) > len(e.crashes) && findCrash(other.crashes, c) >= 0 {
 			return true
 		}
 	}
--- a/decision/poison/poison_test.go
+++ b/decision/poison/poison_test.go
@@ -139,6 +139,22 @@
 	assert.Equal(t, verdict(table, 10*time.Second, 1), Refuse)
 	assert.Equal(t, verdict(table, 10*time.Second, 2), Refuse)
 	assert.Equal(t, verdict(table, 10*time.Second, 9), Allow)
+	crashAt(table, 11*time.Second, []uint64{9})
+	assert.Equal(t, verdict(table, 12*time.Second, 9), Allow, "a crash for another reason")
+}
+
+// Guards against a part that is refused after three crashes although many happened without
+// it.
+func TestFourthMomentCondemns(t *testing.T) {
+	table := New(Config{})
+	crashAt(table, time.Second, []uint64{pill})
+	crashAt(table, 2*time.Second, []uint64{8})
+	crashAt(table, 3*time.Second, []uint64{pill})
+	crashAt(table, 4*time.Second, []uint64{8})
+	crashAt(table, 5*time.Second, []uint64{pill})
+	assert.Equal(t, verdict(table, 6*time.Second, pill), Allow)
+	crashAt(table, 7*time.Second, []uint64{pill})
+	assert.Equal(t, verdict(table, 8*time.Second, pill), Refuse)
 }
 
 // Guards against a part with more crashes that hides a poison pill although, unlike it, it
