Tell nothing about an endpoint from a withdrawal while connecting

Found in review by reading: a request that is withdrawn from superseded weights, or moved, while the router still connects counts as an endpoint without a response, which suspends a sound endpoint at once and takes it from other requests.

Cause: "not sent" was decided before the reason for which the attempt ended. The request has not run, so its result stays; the outcome for the endpoint's health is now neutral.

--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -113,6 +113,9 @@
 	duration     time.Duration
 	// wrongEndpoint means that another endpoint now uses the address.
 	wrongEndpoint bool
+	// endedByRouter means that the router gave up connecting to the endpoint for a reason
+	// of its own.
+	endedByRouter bool
 	// retryReserved means that the retry budget was already charged for the next
 	// attempt.
 	retryReserved bool
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -117,7 +117,8 @@
 	case errors.Is(a.requestCtx.Err(), context.Canceled):
 		return result{kind: resultCallerDisconnected, err: err}
 	case errors.Is(err, upstream.ErrNotSent):
-		return result{kind: resultNotSent, err: err}
+		ended := errors.IsAny(context.Cause(ctx), errMovedForWeightsChange, errWeightsExpired)
+		return result{kind: resultNotSent, err: err, endedByRouter: ended}
 	case errors.Is(context.Cause(ctx), errMovedForWeightsChange):
 		return result{kind: resultMoved, err: errMovedForWeightsChange, retryReserved: true}
 	case errors.Is(context.Cause(ctx), errWeightsExpired):
@@ -286,29 +287,36 @@
 // recordEnd reports the end of the attempt to the selector.
 func (a *attempt) recordEnd(res result) {
 	a.recordPrefillEnded(false)
-	outcome := selection.OutcomeGood
+	change, health := a.recordOutcome(res.endpointOutcome(), res.kind == resultDone)
+	switch change {
+	case selection.SuspensionStarted:
+		a.healthLogEntry(res, health).WithField("for_ms", health.SuspendedFor.Milliseconds()).Warn("endpoint suspended")
+	case selection.SuspensionEnded:
+		a.healthLogEntry(res, health).Info("endpoint restored")
+	}
+}
+
+// endpointOutcome returns what the result tells about the endpoint's health.
+func (res result) endpointOutcome() selection.Outcome {
+	switch {
+	case res.endedByRouter:
+		return selection.OutcomeNeutral
+	case res.wrongEndpoint:
+		return selection.OutcomeNoResponse
+	}
 	switch res.kind {
 	case resultNotSent, resultTimeout:
-		outcome = selection.OutcomeNoResponse
+		return selection.OutcomeNoResponse
 	case resultErrorResponse:
-		outcome = selection.OutcomeErrorResponse
+		return selection.OutcomeErrorResponse
 	case resultIncompleteResponse:
-		outcome = selection.OutcomeIncompleteResponse
+		return selection.OutcomeIncompleteResponse
 	case resultRefused:
-		outcome = selection.OutcomeRefused
-		if res.wrongEndpoint {
-			outcome = selection.OutcomeNoResponse
-		}
+		return selection.OutcomeRefused
 	case resultCallerDisconnected, resultMoved, resultWithdrawn:
-		outcome = selection.OutcomeNeutral
-	}
-	change, health := a.recordOutcome(outcome, res.kind == resultDone)
-	switch change {
-	case selection.SuspensionStarted:
-		a.healthLogEntry(res, health).WithField("for_ms", health.SuspendedFor.Milliseconds()).Warn("endpoint suspended")
-	case selection.SuspensionEnded:
-		a.healthLogEntry(res, health).Info("endpoint restored")
+		return selection.OutcomeNeutral
 	}
+	return selection.OutcomeGood
 }
 
 func (a *attempt) healthLogEntry(res result, h selection.Health) *logrus.Entry {
