decision/poison: count only tests that crashed an engine

A condemned part was tested at most twice, and a test counted when it was sent. Two tests without result (the caller left, the engine refused or took too long) left a sound part refused for as long as it was asked for.

Now a test counts as failed only by a crash of the part from the time on when its first test was due. All routers derive the number from the crashes, which they exchange anyway; a condemned part keeps its crashes, so that a router that restarted knows the failed tests as well. A test without result is due again after 10, 40 and 160 s: the interval grows with all tests started, so that crashes that go unnoticed do not add up to more than three in the first minutes.

Before: TestTestsWithoutResultAreRepeated: after [12s 52s] a part without results is never tested again TestRestartedRouterKnowsTheFailedTests: 2 != 3: one of them without result: [12s 52s]

--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -20,8 +20,8 @@
 // all of them, so that requests with some of them show which is sound.
 //
 // Routers exchange their records, which can be merged in any order and more than once. A
-// condemned part is tested twice, at a growing interval, each time by one request of one
-// router; it is cleared by a sound run or when no more requests with it come.
+// condemned part is tested until two tests failed, at a growing interval, each time by one
+// request of one router; it is cleared by a sound run or when no more requests with it come.
 //
 // Table is a pure state machine and not safe for concurrent use.
 package poison
@@ -100,7 +100,7 @@
 	Crashes, Moments int
 	// OtherCrashes is the number of known crashes without the part since its first.
 	OtherCrashes int
-	// Tests is the number of tests since the part was condemned.
+	// Tests is the number of tests started since the part was condemned.
 	Tests int
 }
 
@@ -133,7 +133,8 @@
 	explained bool
 	// companions are the other condemned parts with the same crashes.
 	companions []uint64
-	// tests is the number of tests since condemnedAt and testedAt the start of the last.
+	// tests is the number of tests started since condemnedAt and testedAt the start of the
+	// last.
 	tests    int
 	testedAt time.Duration
 	// requestedAt is the time of the last refused request at this router.
@@ -310,10 +311,14 @@
 
 // addCrash records a crash and reports whether it says something new.
 func (e *entry) addCrash(now time.Duration, c crash) bool {
-	if c.at <= max(e.soundAt, e.ownSoundAt) || now-c.at >= evidenceTTL {
+	if c.at <= max(e.soundAt, e.ownSoundAt) {
 		return false
 	}
+	// The crashes of a condemned part stay: they are the results of its tests.
 	if !e.condemned {
+		if now-c.at >= evidenceTTL {
+			return false
+		}
 		e.removeExpired(now)
 	}
 	var added bool
--- a/decision/poison/report.go
+++ b/decision/poison/report.go
@@ -42,7 +42,7 @@
 	// Condemned means that the evidence sufficed to refuse the part, CondemnedAge ago.
 	Condemned    bool
 	CondemnedAge time.Duration
-	// Tests is the number of tests since then, and TestAge the time since the last one
+	// Tests is the number of tests started since then, and TestAge the time since the last one
 	// started, or 0 if there was none.
 	Tests   int
 	TestAge time.Duration
@@ -135,6 +135,9 @@
 		e = t.entry(now, r.Part)
 	}
 	changes, touched := t.mergeGeneration(now, e, r, changes)
+	if r.Condemned && r.Generation == e.generation && t.mergeCondemned(now, e, r) {
+		touched = true
+	}
 	for _, c := range r.Crashes {
 		if c.Age < 0 {
 			continue
@@ -146,9 +149,6 @@
 			touched = true
 		}
 	}
-	if r.Condemned && r.Generation == e.generation && t.mergeCondemned(now, e, r) {
-		touched = true
-	}
 	return changes, touched
 }
 
--- a/decision/poison/tester.go
+++ b/decision/poison/tester.go
@@ -7,11 +7,13 @@
 
 const (
 	// firstTestDelay is the time from the condemnation of a part to its first test, and
-	// testDelayFactor the growth of the time to each further one.
+	// testDelayFactor the growth of the time to each further one, up to maxTestDelay. It
+	// also grows after tests without result, because their crashes may go unnoticed.
 	firstTestDelay  = 10 * time.Second
 	testDelayFactor = 4
-	// maxTests bounds the tests of a part. Each test of a poison pill crashes an engine
-	// with all that runs there. A part that fails them all stays condemned until no
+	maxTestDelay    = 160 * time.Second
+	// maxTests bounds the failed tests of a part. Each test of a poison pill crashes an
+	// engine with all that runs there. A part that fails them all stays condemned until no
 	// requests with it come any more.
 	maxTests = 2
 	// testSlot is how long it is a router's turn to test a part, and testOpen the time
@@ -99,16 +101,25 @@
 
 // testDueAt returns the time from which the next test may start, if there may be one.
 func (e *entry) testDueAt() (time.Duration, bool) {
-	if e.tests >= maxTests {
+	if e.failedTests() >= maxTests {
 		return 0, false
 	}
 	delay := firstTestDelay
 	for range e.tests {
-		delay *= testDelayFactor
+		delay = min(delay*testDelayFactor, maxTestDelay)
 	}
 	return max(e.condemnedAt, e.testedAt) + delay, true
 }
 
+// failedTests returns the number of tests that crashed an engine. Other tests, as of callers
+// that left or of engines that refused, show nothing. Crashes before the first test was due
+// are those of attempts that ran when the part was condemned. All routers count the same,
+// also those that never heard of the start of a test.
+func (e *entry) failedTests() int {
+	due := e.condemnedAt + firstTestDelay
+	return min(e.tests, moments(e.crashes[search(e.crashes, due):]))
+}
+
 // hashString is FNV-1a.
 func hashString(s string) uint64 {
 	h := uint64(0xcbf29ce484222325)
