decision/poison: do not take over a condemnation that own sound runs contradict

A router that could not reach the others condemned a part for crashes that only it saw. When its report came through, the others took the condemnation over although they had seen the part sound after all these crashes: a sound run without entry in the table raises no generation, so the report did not look old. The part was refused until its first test.

Such a report now raises the generation and clears the part, and the next messages tell the other routers. The crashes in the report do not hide: one after the last own sound run lets the condemnation stand (TestEarlierSoundRunDoesNotClear, which passed before, too).

Before: TestLateReportOfACondemnationDoesNotOverruleLaterSoundRuns: 1 (Refuse) != 0 (Allow): [{Part:1 Kind:1 Crashes:0 Moments:0 OtherCrashes:0 Tests:0}]

--- a/decision/poison/report.go
+++ b/decision/poison/report.go
@@ -135,6 +135,11 @@
 		e = t.entry(now, r.Part)
 	}
 	changes, touched := t.mergeGeneration(now, e, r, changes)
+	if e.contradicts(now, r) {
+		e.generation, e.soundAt = e.generation+1, e.ownSoundAt
+		t.markChanged(now, r.Part, e)
+		changes, touched = t.clear(r.Part, e, changes), true
+	}
 	if r.Condemned && r.Generation == e.generation && t.mergeCondemned(now, e, r) {
 		touched = true
 	}
@@ -170,6 +175,22 @@
 	return changes, false
 }
 
+// contradicts reports whether this router saw the part sound after all the crashes for which
+// another condemned it. That router did not know the sound run.
+func (e *entry) contradicts(now time.Duration, r Report) bool {
+	if !r.Condemned || r.Generation != e.generation {
+		return false
+	}
+	lastAt := never
+	for _, c := range r.Crashes {
+		lastAt = max(lastAt, now-c.Age)
+	}
+	if len(r.Crashes) == 0 {
+		lastAt = now - r.CondemnedAge
+	}
+	return e.ownSoundAt > lastAt
+}
+
 // mergeCondemned reports whether the part was condemned by it.
 func (t *Table) mergeCondemned(now time.Duration, e *entry, r Report) bool {
 	at, added := now-r.CondemnedAge, !e.condemned
