--- a/decision/poison/report.go
+++ b/decision/poison/report.go
@@ -42,7 +42,7 @@
 	// Condemned means that the evidence sufficed to refuse the part, CondemnedAge ago.
 	Condemned    bool
 	CondemnedAge time.Duration
-	// Tests is the number of tests since then, and TestAge the time since the last one
+	// Tests is the number of tests started since then, and TestAge the time since the last one
 	// started, or 0 if there was none.
 	Tests   int
 	TestAge time.Duration
@@ -135,6 +135,14 @@
 		e = t.entry(now, r.Part)
 	}
 	changes, touched := t.mergeGeneration(now, e, r, changes)
+	if e.contradicts(now, r) {
+		e.generation, e.soundAt = e.generation+1, e.ownSoundAt
+		t.markChanged(now, r.Part, e)
+		changes, touched = t.clear(r.Part, e, changes), true
+	}
+	if r.Condemned && r.Generation == e.generation && t.mergeCondemned(now, e, r) {
+		touched = true
+	}
 	for _, c := range r.Crashes {
 		if c.Age < 0 {
 			continue
@@ -146,9 +154,6 @@
 			touched = true
 		}
 	}
-	if r.Condemned && r.Generation == e.generation && t.mergeCondemned(now, e, r) {
-		touched = true
-	}
 	return changes, touched
 }
 
@@ -170,6 +175,22 @@
 	return changes, false
 }
 
+// contradicts reports whether this router saw the part sound after all the crashes for which
+// another condemned it. That router did not know the sound run.
+func (e *entry) contradicts(now time.Duration, r Report) bool {
+	if !r.Condemned || r.Generation != e.generation {
+		return false
+	}
+	lastAt := never
+	for _, c := range r.Crashes {
+		lastAt = max(lastAt, now-c.Age)
+	}
+	if len(r.Crashes) == 0 {
+		lastAt = now - r.CondemnedAge
+	}
+	return e.ownSoundAt > lastAt
+}
+
 // mergeCondemned reports whether the part was condemned by it.
 func (t *Table) mergeCondemned(now time.Duration, e *entry, r Report) bool {
 	at, added := now-r.CondemnedAge, !e.condemned
