decision/poison: blame no part seen sound for connections that break before answers begin

When all connections of the routers to engines were reset for 4 s, the first parts, which are in use at all times, were condemned by breaks that looked like crashes of one engine after the other, and refused until the first test 10 s later. Such breaks before the head of a response also show lost links. They no longer count against a part that was seen sound within the table's memory; only begun answers without output do. A part never seen sound is still condemned by either.

--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -11,7 +11,7 @@
 // time. Crashes at about the same time count once, because many engines may crash at once
 // for a common reason. A part is condemned after three such moments if it was never seen
 // sound and took part in at least two of three known crashes since its first, else after up
-// to five.
+// to five. Against a part that was seen sound, only crashes of begun answers count.
 //
 // A crash of a condemned part may be explained by another condemned part that took part in
 // it and in more crashes, or that unlike it was never seen sound. A part whose crashes are
@@ -394,15 +394,16 @@
 }
 
 // counted returns the crashes that count against the part: those in which its attempt had
-// begun or none is known to have begun, and, for a part that was seen sound, in which no
-// condemned part took part that never was.
+// begun or none is known to have begun, and, for a part that was seen sound, in which its
+// attempt had begun and no condemned part took part that never was sound. Connections that
+// break before an answer begins also show lost links, at all engines one after the other.
 func (t *Table) counted(e *entry) []crash {
 	list := make([]crash, 0, len(e.crashes))
 	for _, c := range e.crashes {
 		if i := findCrash(t.recent, c); !c.begun && i >= 0 && t.recent[i].begun {
 			continue
 		}
-		if !e.seenSound() || !t.causedByPill(c) {
+		if !e.seenSound() || c.begun && !t.causedByPill(c) {
 			list = append(list, c)
 		}
 	}
