decision/poison: test no part until the list of routers is known

Just after a start a router knows few others, and while lists differ several routers take their turn at the same time: each test of a poison pill crashes an engine. SetRouters now takes the time, and a router tests only once its list has been the same for 5 s. A list with the same names in another order is the same. A single router tests after that time, one that never had a list does not.

The calls in the tests have the new parameter.

--- a/decision/poison/isolated_test.go
+++ b/decision/poison/isolated_test.go
@@ -21,8 +21,8 @@
 func isolatedAndOther(t *testing.T, begun bool) {
 	const part = uint64(1)
 	isolated, other := New(Config{}), New(Config{})
-	isolated.SetRouters("isolated", []string{"other"})
-	other.SetRouters("other", []string{"isolated"})
+	isolated.SetRouters(0, "isolated", []string{"other"})
+	other.SetRouters(0, "other", []string{"isolated"})
 	now := time.Minute
 	// Both have seen the part sound.
 	isolated.ObserveSound(now, []uint64{part})
@@ -43,8 +43,8 @@
 func TestLateReportOfACondemnationDoesNotOverruleLaterSoundRuns(t *testing.T) {
 	const part = uint64(1)
 	isolated, other := New(Config{}), New(Config{})
-	isolated.SetRouters("isolated", []string{"other"})
-	other.SetRouters("other", []string{"isolated"})
+	isolated.SetRouters(0, "isolated", []string{"other"})
+	other.SetRouters(0, "other", []string{"isolated"})
 	now := time.Minute
 	isolated.ObserveSound(now, []uint64{part})
 	for i := range 5 {
--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -168,7 +168,10 @@
 	// sound and olderSound map parts to the times of their last sound runs at this router.
 	// When sound is full it becomes olderSound.
 	sound, olderSound map[uint64]time.Duration
-	ranks             *ranking
+	// ranks is nil before the first call of SetRouters, and routersSince is the time since
+	// which it is the same.
+	ranks        *ranking
+	routersSince time.Duration
 }
 
 // never is before every time of a table.
--- a/decision/poison/poison_test.go
+++ b/decision/poison/poison_test.go
@@ -332,7 +332,7 @@
 		}
 		for i := range tables {
 			tables[i] = condemned()
-			tables[i].SetRouters(names[i], names)
+			tables[i].SetRouters(0, names[i], names)
 		}
 		var tests []time.Duration
 		var skipped *Table
@@ -367,7 +367,7 @@
 // routers.
 func TestSoundTestClears(t *testing.T) {
 	a, b := condemned(), New(Config{})
-	a.SetRouters("a", nil)
+	a.SetRouters(0, "a", nil)
 	b.Merge(3*time.Second, a.Pending(3*time.Second, 10)...)
 	assert.Equal(t, verdict(b, 3*time.Second, pill), Refuse)
 	now := 2*time.Second + firstTestDelay
@@ -394,7 +394,7 @@
 		}
 	}
 	restarted := New(Config{})
-	restarted.SetRouters("a", []string{"a", "b", "c"})
+	restarted.SetRouters(0, "a", []string{"a", "b", "c"})
 	now := 30 * time.Second
 	changes := restarted.Merge(now, table.Pending(now, 64)...)
 	assert.Equal(t, changes[0].Kind, Condemned)
--- a/decision/poison/sim_test.go
+++ b/decision/poison/sim_test.go
@@ -74,9 +74,11 @@
 	engineDowntime = 3 * time.Second
 	resetFrom      = 10 * time.Second
 	resetDuration  = 4 * time.Second
-	roundInterval  = 120 * time.Millisecond
-	roundFanout    = 3
-	messageLoss    = 0.05
+	// maxTimeToFullList is the longest time from a start until a router knows all others.
+	maxTimeToFullList = 4 * time.Second
+	roundInterval     = 120 * time.Millisecond
+	roundFanout       = 3
+	messageLoss       = 0.05
 	// maxTransit is the longest transit time of a message, by which ages are too small.
 	maxTransit  = 480 * time.Millisecond
 	firstParts  = 4
@@ -234,7 +236,10 @@
 	if boot == 0 {
 		s.routers[i].startedAt = -refusalGrace
 	}
-	s.routers[i].table.SetRouters(s.names[i], s.names)
+	// A router that just started knows few others.
+	table := s.routers[i].table
+	table.SetRouters(s.now, s.names[i], nil)
+	s.after(s.uniform(0, maxTimeToFullList), func() { table.SetRouters(s.now, s.names[i], s.names) })
 }
 
 func (s *simulation) nextArrival() time.Duration {
@@ -538,6 +543,7 @@
 		list = append(list, sc)
 	}
 	add(", long", func(sc *scenario) { sc.duration = 70 * time.Second })
+	add(", many restarts", func(sc *scenario) { sc.duration, sc.restarts = 70*time.Second, 40 })
 	add(", rare", func(sc *scenario) { sc.deadlyShare, sc.duration = 0.005, 60*time.Second })
 	add(", apart", func(sc *scenario) { sc.deadlyApart = true })
 	add(", first part", func(sc *scenario) { sc.deadlyFirst = true })
--- a/decision/poison/tester.go
+++ b/decision/poison/tester.go
@@ -24,11 +24,16 @@
 	// slotsPerExtraTester is the number of slots after which one more router may test at
 	// the same time. Without it, rare parts would hardly arrive at a router in its turn.
 	slotsPerExtraTester = 16
+	// routersStableTime is how long the list of routers must have been the same before a
+	// test. Routers that just started know few others, and all would take their turn at
+	// once.
+	routersStableTime = 5 * time.Second
 )
 
 // ranking orders routers for each part, so that all routers choose the same testers.
 type ranking struct {
-	self  string
+	self string
+	// names are ordered and contain self.
 	names []string
 	// hashes are the hashes of names.
 	hashes []uint64
@@ -46,6 +51,8 @@
 	if !slices.Contains(r.names, self) {
 		r.names = append(r.names, self)
 	}
+	slices.Sort(r.names)
+	r.names = slices.Compact(r.names)
 	for _, name := range r.names {
 		r.hashes = append(r.hashes, hashString(name))
 	}
@@ -64,14 +71,21 @@
 	return rank
 }
 
-// SetRouters sets the names of this router and of all known routers. Routers take turns at
-// testing a part; without other routers each test is this router's. Before the first call
-// it tests none.
-func (t *Table) SetRouters(self string, names []string) { t.ranks = newRanking(self, names) }
+// SetRouters sets the names of this router and of all known routers. It is called when the
+// list of routers was loaded and whenever it may have changed. Routers take turns at testing
+// a part; without other routers each test is this router's. A router tests once its list has
+// been the same for routersStableTime.
+func (t *Table) SetRouters(now time.Duration, self string, names []string) {
+	ranks := newRanking(self, names)
+	if t.ranks != nil && t.ranks.self == self && slices.Equal(t.ranks.names, ranks.names) {
+		return
+	}
+	t.ranks, t.routersSince = ranks, now
+}
 
 // mayTest reports whether it is this router's turn to test all condemned parts among parts.
 func (t *Table) mayTest(now time.Duration, parts []uint64, culprit uint64) bool {
-	if t.ranks == nil {
+	if t.ranks == nil || now-t.routersSince < routersStableTime {
 		return false
 	}
 	dueAt := never
--- a/decision/poison/testresult_test.go
+++ b/decision/poison/testresult_test.go
@@ -39,7 +39,7 @@
 	var tables []*Table
 	for i := range routers {
 		table := condemned()
-		table.SetRouters(names[i], names)
+		table.SetRouters(0, names[i], names)
 		tables = append(tables, table)
 	}
 	return tables
@@ -76,7 +76,7 @@
 
 	now := 9 * time.Minute
 	restarted := New(Config{})
-	restarted.SetRouters("router-0", nil)
+	restarted.SetRouters(now, "router-0", nil)
 	restarted.Merge(now, tables[0].Pending(now, 10)...)
 	for end := now + 10*time.Minute; now < end; now += 50 * time.Millisecond {
 		assert.Equal(t, verdict(restarted, now, pill), Refuse, "%s", now)
