--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -11,7 +11,7 @@
 // time. Crashes at about the same time count once, because many engines may crash at once
 // for a common reason. A part is condemned after three such moments if it was never seen
 // sound and took part in at least two of three known crashes since its first, else after up
-// to five.
+// to five. Against a part that was seen sound, only crashes of begun answers count.
 //
 // A crash of a condemned part may be explained by another condemned part that took part in
 // it and in more crashes, or that unlike it was never seen sound. A part whose crashes are
@@ -104,16 +104,6 @@
 	Tests int
 }
 
-// crash is a crash of an engine.
-type crash struct {
-	// endpoint is the hash of the endpoint's ID.
-	endpoint uint64
-	at       time.Duration
-	// begun means that an attempt with the part or, in Table.recent, with any part had
-	// begun its answer.
-	begun bool
-}
-
 // entry is what is known of a part.
 type entry struct {
 	// generation counts the sound runs that cleared the part, and soundAt is the time of
@@ -168,7 +158,10 @@
 	// sound and olderSound map parts to the times of their last sound runs at this router.
 	// When sound is full it becomes olderSound.
 	sound, olderSound map[uint64]time.Duration
-	ranks             *ranking
+	// ranks is nil before the first call of SetRouters, and routersSince is the time since
+	// which it is the same.
+	ranks        *ranking
+	routersSince time.Duration
 }
 
 // never is before every time of a table.
@@ -344,206 +337,6 @@
 	}
 }
 
-// insertCrash adds a crash to a list ordered by time and reports whether it is new or newly
-// known to have had a begun attempt. Of several reports of one crash the earliest time
-// counts, because ages are too small by the transit time of a message.
-func insertCrash(list []crash, c crash) (result []crash, added bool) {
-	added = true
-	if i := findCrash(list, c); i >= 0 {
-		old := list[i]
-		added = c.begun && !old.begun
-		list[i].begun = old.begun || c.begun
-		if old.at <= c.at {
-			return list, added
-		}
-		c.begun = list[i].begun
-		list = slices.Delete(list, i, i+1)
-	}
-	return slices.Insert(list, search(list, c.at), c), added
-}
-
-// search returns the position of the first crash that is not before a time.
-func search(list []crash, at time.Duration) int {
-	i, _ := slices.BinarySearchFunc(list, at, func(c crash, at time.Duration) int { return cmp.Compare(c.at, at) })
-	return i
-}
-
-// findCrash returns the position of a report of the same crash, or -1.
-func findCrash(list []crash, c crash) int {
-	for i := search(list, c.at-crashMergeWindow); i < len(list) && list[i].at < c.at+crashMergeWindow; i++ {
-		if sameCrash(list[i], c) {
-			return i
-		}
-	}
-	return -1
-}
-
-func sameCrash(a, b crash) bool {
-	return a.endpoint == b.endpoint && (a.at-b.at).Abs() < crashMergeWindow
-}
-
-// moments returns the number of moments at which the crashes happened.
-func moments(crashes []crash) int {
-	n, startedAt := 0, never
-	for _, c := range crashes {
-		if c.at-startedAt >= crashMoment {
-			n, startedAt = n+1, c.at
-		}
-	}
-	return n
-}
-
-// counted returns the crashes that count against the part: those in which its attempt had
-// begun or none is known to have begun, and, for a part that was seen sound, in which no
-// condemned part took part that never was.
-func (t *Table) counted(e *entry) []crash {
-	list := make([]crash, 0, len(e.crashes))
-	for _, c := range e.crashes {
-		if i := findCrash(t.recent, c); !c.begun && i >= 0 && t.recent[i].begun {
-			continue
-		}
-		if !e.seenSound() || !t.causedByPill(c) {
-			list = append(list, c)
-		}
-	}
-	return list
-}
-
-// causedByPill reports whether a condemned part that was never seen sound took part in a
-// crash.
-func (t *Table) causedByPill(c crash) bool {
-	for _, e := range t.condemned {
-		if !e.seenSound() && findCrash(e.crashes, c) >= 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// otherCrashes returns the number of known crashes without the part since the first with it.
-func (t *Table) otherCrashes(own []crash) int {
-	if len(own) == 0 {
-		return 0
-	}
-	other := 0
-	for _, c := range t.recent[search(t.recent, own[0].at):] {
-		if findCrash(own, c) < 0 {
-			other++
-		}
-	}
-	return other
-}
-
-// requiredMoments returns the number of moments after which a part with the given counted
-// crashes is condemned. The more crashes happen without the part, the likelier it was
-// present by chance at the others.
-func (t *Table) requiredMoments(e *entry, counted []crash) int {
-	own, other := len(counted), t.otherCrashes(counted)
-	switch {
-	case e.seenSound() || other > own:
-		return maxCrashMoments
-	case 2*other > own:
-		return minCrashMoments + 1
-	}
-	return minCrashMoments
-}
-
-// judge condemns those of the parts against which the evidence suffices, and explains the
-// crashes of condemned parts anew. It is called after all changes of an observation or a
-// message, so that parts are compared on the same evidence.
-func (t *Table) judge(now time.Duration, parts []uint64, changes []Change) []Change {
-	for _, part := range parts {
-		e := t.entries[part]
-		switch {
-		case e == nil:
-			continue
-		case e.condemned:
-			t.unexplained = true
-			continue
-		case moments(e.crashes) < minCrashMoments:
-			continue
-		}
-		if counted := t.counted(e); moments(counted) >= t.requiredMoments(e, counted) {
-			t.condemn(now, part, e, now)
-		}
-	}
-	return t.explain(changes)
-}
-
-// condemn condemns a part, which is not refused before explain has seen it.
-func (t *Table) condemn(now time.Duration, part uint64, e *entry, at time.Duration) {
-	e.condemned, e.condemnedAt, e.explained, e.tests, e.testedAt = true, at, true, 0, never
-	t.condemned[part] = e
-	t.unexplained = true
-	t.markChanged(now, part, e)
-}
-
-// explain decides for each condemned part whether its crashes are attributed to another, if
-// anything changed about condemned parts.
-func (t *Table) explain(changes []Change) []Change {
-	if !t.unexplained {
-		return changes
-	}
-	t.unexplained = false
-	for part, e := range t.condemned {
-		explained := t.explained(part, e)
-		if explained == e.explained {
-			continue
-		}
-		e.explained = explained
-		kind := Condemned
-		if explained {
-			kind = Explained
-		}
-		changes = append(changes, t.change(part, e, kind))
-	}
-	for part, e := range t.condemned {
-		e.companions = e.companions[:0]
-		for otherPart, other := range t.condemned {
-			if otherPart != part && other.refused() && len(e.crashes) == len(other.crashes) && containsAll(other.crashes, e.crashes) {
-				e.companions = append(e.companions, otherPart)
-			}
-		}
-	}
-	slices.SortStableFunc(changes, func(a, b Change) int { return cmp.Compare(a.Part, b.Part) })
-	return changes
-}
-
-func (t *Table) explained(part uint64, e *entry) bool {
-	if moments(e.crashes) >= minCrashMoments && moments(t.counted(e)) < minCrashMoments {
-		return true
-	}
-	for _, c := range e.crashes {
-		if !t.explainedByOther(part, e, c) {
-			return false
-		}
-	}
-	return len(e.crashes) > 0
-}
-
-// explainedByOther reports whether a crash of a condemned part is attributed to another that
-// takes part in more crashes.
-func (t *Table) explainedByOther(part uint64, e *entry, c crash) bool {
-	for otherPart, other := range t.condemned {
-		if otherPart == part || other.seenSound() && !e.seenSound() {
-			continue
-		}
-		if len(other.crashes) > len(e.crashes) && findCrash(other.crashes, c) >= 0 {
-			return true
-		}
-	}
-	return false
-}
-
-func containsAll(list, crashes []crash) bool {
-	for _, c := range crashes {
-		if findCrash(list, c) < 0 {
-			return false
-		}
-	}
-	return true
-}
-
 func (t *Table) change(part uint64, e *entry, kind ChangeKind) Change {
 	return Change{Part: part, Kind: kind, Crashes: len(e.crashes), Moments: moments(e.crashes), OtherCrashes: t.otherCrashes(e.crashes), Tests: e.tests}
 }
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -82,7 +82,8 @@
 	selector     *selection.Selector
 	crashReports *strikes.Table
 	suspects     *poison.Table
-	// routerNames are the names of the other routers that suspects knows.
+	// routerNames are the names of the other routers that suspects knows. It is nil before
+	// the first view.
 	routerNames map[string]bool
 	// retryBudgets and loggedBudgets are keyed by service.
 	retryBudgets  map[string]*budget.RetryBudget
@@ -206,9 +207,9 @@
 	names := r.directory.OtherRouterNamesLocked()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !maps.Equal(names, r.routerNames) {
+	if r.routerNames == nil || !maps.Equal(names, r.routerNames) {
 		r.routerNames = names
-		r.suspects.SetRouters(r.routerID, slices.Collect(maps.Keys(names)))
+		r.suspects.SetRouters(r.now(), r.routerID, slices.Collect(maps.Keys(names)))
 	}
 	r.selector.SetRouters(position, routers)
 	r.selector.ForgetRemovedEndpoints(view)
