--- a/cmd/arbutus-front/weights_test.go
+++ b/cmd/arbutus-front/weights_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -236,3 +237,26 @@
 		assert.Equal(t, version, uint64(3))
 	}
 }
+
+// Guards against a deadline of superseded weights that is late by the time for which the
+// store hid the publication: it dropped its history, so watches missed the change.
+func TestLatePublicationKeepsTheWeightsDeadline(t *testing.T) {
+	const deadline = 1500 * time.Millisecond
+	c := newCluster(t)
+	c.relaySettings = `"weights_deadline": "1500ms"`
+	engine := engineEndpoint("engine-1")
+	engine.Queue = make(chan struct{})
+	c.startEndpoint(engine)
+	router := c.startRouter()
+	responses := make(chan response, 1)
+	go func() { responses <- router.sendPrompt("waiting", "/audit/x") }()
+	c.eventually("the request has reached the engine", func() bool { return engine.ExecutionCount("waiting") == 1 })
+	watches := c.store.RequestCount(http.MethodGet, "versions")
+	c.eventually("a new watch begins", func() bool { return c.store.RequestCount(http.MethodGet, "versions") > watches })
+	publishedAt := time.Now()
+	c.store.ChangeWithoutEvents(func() { c.store.Put("versions", "m", map[string]any{"model": "m", "version": 2}) })
+	time.Sleep(time.Until(publishedAt.Add(deadline)))
+	close(engine.Queue)
+	<-responses
+	assert.Equal(t, engine.BegunStreams(), 0, "the request began after the deadline")
+}
