Take only publications found at the start of a router for old

Cause: that commit took the first version that a process learns of for old. The store names no version until the first publication, so that one was taken for 5 s old at all routers, deadlines came 5 s early and more engines changed at once.

Change: only what the first list, or another router's first copy, holds is taken for old.

TestFirstPublicationAfterTheStartIsNew: before, the publication has an assumed time; after, its own. TestRestartedRouterKeepsTheWeightsDeadline still passes.

--- a/cmd/arbutus-front/weights_test.go
+++ b/cmd/arbutus-front/weights_test.go
@@ -200,6 +200,20 @@
 	assert.Equal(t, engine.BegunStreams(), 0)
 }
 
+// Guards against taking a model's first publication for old at routers that run: engines had
+// versions that the store did not name, and requests were refused seconds too early.
+func TestFirstPublicationAfterTheStartIsNew(t *testing.T) {
+	c := newCluster(t)
+	c.store.Remove("versions", "m")
+	c.startEndpoint(engineEndpoint("engine-1"))
+	first, second := c.startRouter(), c.startRouter()
+	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+	for _, r := range []*testRouter{first, second} {
+		c.eventually("the version is known", func() bool { return r.fleetView().LatestWeightsVersions["m"] == 2 })
+		assert.Assert(t, !r.fleetView().PublishedWeightsVersions["m"][0].Assumed)
+	}
+}
+
 // Guards against keeping an assumed publish time when another router knows the time.
 func TestPublishTimeOfAnotherRouterReplacesTheAssumedOne(t *testing.T) {
 	c := newCluster(t)
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -85,6 +85,9 @@
 	replicas                 map[string]*replica.Replica
 	config                   *fleet.Configuration
 	publishedWeightsVersions map[string][]fleet.PublishedWeightsVersion
+	// versionsLoaded is true once the weights versions that were published before this
+	// router started are known.
+	versionsLoaded bool
 	// observedWeightsVersions maps endpoints and models to the weights versions that
 	// the endpoints themselves reported.
 	observedWeightsVersions map[string]map[string]uint64
@@ -282,6 +285,7 @@
 	if d.replicas[kind].ApplyList(entries, revision) {
 		d.handleReplicaChangeLocked(kind, "list")
 	}
+	d.versionsLoaded = d.versionsLoaded || kind == platform.KindPublishedWeightsVersions
 	return revision, nil
 }
 
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -19,9 +19,9 @@
 // It covers the delay of an exchange between routers.
 const publishTimeTolerance = 200 * time.Millisecond
 
-// assumedPublishAge is the age of a model's first known version until another router
-// tells it. After a restart of all routers none knows it; too low an age would let requests
-// begin on weights that expired before.
+// assumedPublishAge is the age of the versions that a router finds when it starts, until
+// another router tells it. After a restart of all routers none knows it; too low an age would
+// let requests begin on weights that expired before.
 const assumedPublishAge = 5 * time.Second
 
 // retainedCheckInterval is the time between two checks for retained endpoints whose
@@ -119,7 +119,7 @@
 		}
 		if version > out[model] {
 			published := fleet.PublishedWeightsVersion{Version: version, PublishedAt: time.Now()}
-			if out[model] == 0 {
+			if !d.versionsLoaded {
 				published.PublishedAt, published.Assumed = published.PublishedAt.Add(-assumedPublishAge), true
 			}
 			out[model] = version
@@ -333,6 +333,7 @@
 	if r := d.replicas[kind]; r != nil && r.ApplyChanges(entries, revision) {
 		d.handleReplicaChangeLocked(kind, "router")
 	}
+	d.versionsLoaded = d.versionsLoaded || kind == platform.KindPublishedWeightsVersions
 }
 
 // OtherRouterNamesLocked returns the names of the other registered routers. The caller
