Show when a router is short of processor time

Logs and metrics could not tell the three hypotheses about runs for callers that had left apart: nothing shows how long a request waits in a router that is short of processor time, or that it is. New: the module scheduling measures how late timers fire (histogram, and a line at the begin and end of a shortage), "request ended" has the time until the last attempt was sent, and "cache events caught up" tells what a router reads after its start.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -27,7 +27,7 @@
 var requiredFields = map[string][]string{
 	// Requests.
 	"request refused": {"request", "host", "path", "status", "reason", "configuration"},
-	"request ended":   {"request", "route", "team", "outcome", "tries", "endpoint", "configuration", "first_ms", "took_ms"},
+	"request ended":   {"request", "route", "team", "outcome", "tries", "endpoint", "configuration", "sent_ms", "first_ms", "took_ms"},
 	"attempt failed": {
 		"request", "route", "service", "endpoint", "address", "try", "result", "status", "weights", "cost_ms", "age_ms",
 		"left_ms", "last_event", "configuration", "shared_parts", "head", "events", "try_ms", "error",
@@ -92,6 +92,11 @@
 	"ignored store object with invalid content":      {"revision", "error"},
 	"ignored store entry that is not a valid object": {"kind"},
 
+	// Processor time and catching up after a start.
+	"process short of processor time":         {"delay_ms", "cpu_ms", "goroutines"},
+	"process has enough processor time again": {"for_ms", "max_delay_ms", "cpu_ms"},
+	"cache events caught up":                  {"sources", "events", "took_ms"},
+
 	// Start and failure of servers.
 	"serving callers":            {"address"},
 	"server for callers failed":  {"error"},
--- a/cmd/arbutus-front/main.go
+++ b/cmd/arbutus-front/main.go
@@ -14,6 +14,7 @@
 	"github.com/arbutusline/arbutusline/modules/logging"
 	"github.com/arbutusline/arbutusline/modules/node"
 	"github.com/arbutusline/arbutusline/modules/relay"
+	"github.com/arbutusline/arbutusline/modules/scheduling"
 	"github.com/arbutusline/arbutusline/modules/status"
 	"github.com/arbutusline/arbutusline/modules/upgrade"
 	"github.com/arbutusline/arbutusline/modules/upstream"
@@ -24,7 +25,7 @@
 // for callers starts last and stops first.
 var modules = []string{
 	logging.Name, node.Name, admin.Name, grpcserver.Name, upstream.Name, directory.Name,
-	relay.Name, cacheevents.Name, exchange.Name, upgrade.Name, status.Name, ingress.Name,
+	relay.Name, cacheevents.Name, exchange.Name, upgrade.Name, status.Name, scheduling.Name, ingress.Name,
 }
 
 func main() {
--- a/internal/reference/modules.go
+++ b/internal/reference/modules.go
@@ -23,6 +23,7 @@
 	_ "github.com/arbutusline/arbutusline/modules/relay"
 	_ "github.com/arbutusline/arbutusline/modules/rulespread"
 	_ "github.com/arbutusline/arbutusline/modules/runner"
+	_ "github.com/arbutusline/arbutusline/modules/scheduling"
 	_ "github.com/arbutusline/arbutusline/modules/status"
 	_ "github.com/arbutusline/arbutusline/modules/trace"
 	_ "github.com/arbutusline/arbutusline/modules/upgrade"
--- a/modules/cacheevents/cacheevents.go
+++ b/modules/cacheevents/cacheevents.go
@@ -79,6 +79,8 @@
 	// stopFollowing maps the ID of each followed source to the function that ends its
 	// goroutine.
 	stopFollowing map[string]context.CancelFunc
+	// catchUp counts what the router reads when it begins to follow sources.
+	catchUp catchUp
 
 	eventCounter *prometheus.CounterVec
 }
@@ -208,6 +210,9 @@
 			wait.ForJittered(ctx, retryDelay)
 			continue
 		}
+		if bootEpoch == 0 {
+			c.recordCaughtUp(len(response.Events))
+		}
 		restarted := bootEpoch != 0 && response.BootEpoch != bootEpoch
 		if restarted {
 			c.log.WithFields(logrus.Fields{"endpoint": s.id, "epoch": response.BootEpoch}).Info("engine restarted with an empty cache")
@@ -224,6 +229,23 @@
 	}
 }
 
+// catchUp counts the sources whose events this router has begun to read since its start.
+type catchUp struct{ sources, events int }
+
+// recordCaughtUp records the first response of a source, and logs when all followed
+// sources have sent one.
+func (c *CacheEvents) recordCaughtUp(events int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.catchUp.sources++
+	c.catchUp.events += events
+	if c.catchUp.sources == len(c.stopFollowing) {
+		c.log.WithFields(logrus.Fields{
+			"sources": c.catchUp.sources, "events": c.catchUp.events, "took_ms": time.Since(c.startTime).Milliseconds(),
+		}).Info("cache events caught up")
+	}
+}
+
 func (c *CacheEvents) fetchEvents(ctx context.Context, s eventSource, since uint64) (platform.CacheEventsResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -380,8 +380,8 @@
 func reportFields(req *relay.Request, r relay.Report) logrus.Fields {
 	f := logrus.Fields{
 		"request": req.ID, "route": req.Route.Name, "team": teamName(req), "outcome": r.Outcome, "tries": r.Attempts,
-		"endpoint": r.EndpointID, "configuration": req.ConfigurationVersion, "first_ms": r.TimeToFirstResponse.Milliseconds(),
-		"took_ms": time.Since(req.ArrivedAt).Milliseconds(),
+		"endpoint": r.EndpointID, "configuration": req.ConfigurationVersion, "sent_ms": r.TimeToSend.Milliseconds(),
+		"first_ms": r.TimeToFirstResponse.Milliseconds(), "took_ms": time.Since(req.ArrivedAt).Milliseconds(),
 	}
 	if r.SharedTokens > 0 {
 		f["cached"], f["shared"], f["fetch_from"] = r.CachedTokens, r.SharedTokens, r.FetchFrom
--- a/modules/relay/job.go
+++ b/modules/relay/job.go
@@ -132,6 +132,9 @@
 	// SharedTokens is the number of tokens of the prompt's shared parts.
 	SharedTokens int
 	FetchFrom    string
+	// TimeToSend is the time from arrival until the last attempt was sent, or 0 if none
+	// was.
+	TimeToSend time.Duration
 	// TimeToFirstResponse is the time from arrival to the response or the first event
 	// of a stream, or 0 if there was none.
 	TimeToFirstResponse time.Duration
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -74,7 +74,11 @@
 		a.silenceTimer = time.AfterFunc(timeout, a.onSilence)
 		defer a.silenceTimer.Stop()
 	}
-	response, err := a.relay.upstream.Do(ctx, a.choice.Endpoint.Address, a.upstreamRequest(a.choice))
+	request := a.upstreamRequest(a.choice)
+	response, err := a.relay.upstream.Do(ctx, a.choice.Endpoint.Address, request)
+	if !request.SentAt.IsZero() {
+		a.report.TimeToSend = request.SentAt.Sub(a.req.ArrivedAt)
+	}
 	if err != nil {
 		return a.resultOfError(ctx, err)
 	}
--- a/modules/upstream/conn.go
+++ b/modules/upstream/conn.go
@@ -130,6 +130,7 @@
 // to other requests and informational responses.
 func (cn *conn) roundTrip(r *Request) (*Response, error) {
 	head := r.encodeHead()
+	r.SentAt = time.Now()
 	cn.writeResult = make(chan error, 1)
 	if len(r.Body) < minConcurrentWriteBytes {
 		_, err := cn.netConn.Write(append(head, r.Body...))
--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -136,6 +136,9 @@
 	MaxIdleTime time.Duration
 	// MaxConnections bounds the open connections to the endpoint. 0 means no limit.
 	MaxConnections int
+	// SentAt is when Do began to send the request. Do sets it; it stays zero if no
+	// connection was available.
+	SentAt time.Time
 }
 
 // Response is an endpoint's response. Body must be closed. Its Read fails with
