--- a/modules/cacheevents/cacheevents.go
+++ b/modules/cacheevents/cacheevents.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/decision/catchup"
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/fleet"
 	"github.com/arbutusline/arbutusline/internal/wait"
@@ -79,7 +80,9 @@
 	// stopFollowing maps the ID of each followed source to the function that ends its
 	// goroutine.
 	stopFollowing map[string]context.CancelFunc
-	// catchUp counts what the router reads when it begins to follow sources.
+	// turns decides when the first read of each source begins, and catchUp counts what
+	// these reads return.
+	turns   *catchup.Turns
 	catchUp catchUp
 
 	eventCounter *prometheus.CounterVec
@@ -115,6 +118,7 @@
 	a.Registry().MustRegister(c.eventCounter)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.startTime = time.Now()
+	c.turns = catchup.New(startSpread, rand.N[time.Duration])
 	c.directory.Subscribe(c.updateFollowedSources)
 	return nil
 }
@@ -200,9 +204,7 @@
 
 func (c *CacheEvents) follow(ctx context.Context, s eventSource) {
 	var bootEpoch, nextSequence uint64
-	if time.Since(c.startTime) < startSpread {
-		wait.For(ctx, rand.N(startSpread))
-	}
+	c.waitForTurn(ctx, s.id)
 	for ctx.Err() == nil {
 		response, err := c.fetchEvents(ctx, s, nextSequence)
 		if err != nil {
@@ -246,6 +248,19 @@
 	}
 }
 
+// waitForTurn waits until the first read of a source may begin or ctx is done.
+func (c *CacheEvents) waitForTurn(ctx context.Context, source string) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		ok, retryIn := c.turns.TryBegin(time.Since(c.startTime), source)
+		c.mu.Unlock()
+		if ok {
+			return
+		}
+		wait.For(ctx, retryIn)
+	}
+}
+
 func (c *CacheEvents) fetchEvents(ctx context.Context, s eventSource, since uint64) (platform.CacheEventsResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
