Read missed cache events one source after the other

Sources now take turns, and after each turn the router does no catching up for three times as long as it was busy, so a small router reads more slowly. That holds for any read after a gap, also after a freeze or a cut. Events are recorded in batches of 256, so that requests do not wait for the relay's lock as long as 4,000 take.

TestAllSourcesAreRead: silent sources do not keep others from their turn.

--- a/decision/catchup/load_test.go
+++ b/decision/catchup/load_test.go
@@ -25,7 +25,7 @@
 	// simEventWork the processor time to decode and apply one.
 	simEvents       = 4000
 	simEventWork    = 10 * time.Microsecond
-	simResponseTime = 10 * time.Millisecond
+	simResponseTime = 10 * time.Millisecond // the mean
 )
 
 // simTask is ready to run from readyAt on until it has had its work.
@@ -41,8 +41,10 @@
 	caughtUpAt   time.Duration
 }
 
-// simulate runs a router with a share of a core from its start on.
-func simulate(turns *Turns, cores float64, sources int, silent int) simResult {
+// simulate runs a router with a share of a core from its start on. The first silent
+// sources that it reads respond after two seconds.
+func simulate(turns *Turns, seed uint64, cores float64, sources, silent int) simResult {
+	random := rand.New(rand.NewPCG(seed, 0))
 	var result simResult
 	var tasks []*simTask
 	waiting := map[string]time.Duration{}
@@ -67,8 +69,8 @@
 				continue
 			}
 			delete(waiting, source)
-			reading[source] = now + simResponseTime
-			if len(reading) <= silent {
+			reading[source] = now + time.Duration(random.Int64N(int64(2*simResponseTime)))
+			if len(waiting) >= sources-silent {
 				reading[source] = now + 2*time.Second
 			}
 		}
@@ -122,8 +124,7 @@
 			cores   float64
 			sources int
 		}{{0.144, 9}, {0.144, 16}, {0.12, 16}, {0.8, 16}} {
-			turns := newTurns(rand.New(rand.NewPCG(seed, 0)))
-			result := simulate(turns, router.cores, router.sources, 0)
+			result := simulate(New(), seed, router.cores, router.sources, 0)
 			longest := slices.Max(result.requestTimes)
 			assert.Check(t, longest < maxRequestTime, "seed %d, %v cores, %d sources: a request took %v", seed, router.cores, router.sources, longest)
 		}
@@ -134,13 +135,8 @@
 func TestAllSourcesAreRead(t *testing.T) {
 	for seed := range uint64(10) {
 		for _, silent := range []int{0, 4} {
-			turns := newTurns(rand.New(rand.NewPCG(seed, 0)))
-			result := simulate(turns, 0.144, 16, silent)
+			result := simulate(New(), seed, 0.144, 16, silent)
 			assert.Check(t, result.caughtUpAt < simDuration, "seed %d, %d silent sources: caught up after %v", seed, silent, result.caughtUpAt)
 		}
 	}
 }
-
-func newTurns(random *rand.Rand) *Turns {
-	return New(4*time.Second, func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) })
-}
--- a/modules/cacheevents/cacheevents.go
+++ b/modules/cacheevents/cacheevents.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -46,10 +45,6 @@
 	// store. An engine accepts about a dozen requests for cache events at the same
 	// time.
 	routersPerSource = 5
-	// startSpread is the time after the start over which a router begins to follow its
-	// sources. The first response of a source has up to 4,000 events, and a small router
-	// that has just started must not fall behind with new configurations.
-	startSpread = 4 * time.Second
 	// maxResponseBytes is the maximum size of a response.
 	maxResponseBytes = 4 << 20
 )
@@ -80,8 +75,8 @@
 	// stopFollowing maps the ID of each followed source to the function that ends its
 	// goroutine.
 	stopFollowing map[string]context.CancelFunc
-	// turns decides when the first read of each source begins, and catchUp counts what
-	// these reads return.
+	// turns decides when missed events are read, and catchUp counts what the first reads
+	// of all sources return.
 	turns   *catchup.Turns
 	catchUp catchUp
 
@@ -118,7 +113,7 @@
 	a.Registry().MustRegister(c.eventCounter)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.startTime = time.Now()
-	c.turns = catchup.New(startSpread, rand.N[time.Duration])
+	c.turns = catchup.New()
 	c.directory.Subscribe(c.updateFollowedSources)
 	return nil
 }
@@ -202,35 +197,97 @@
 	return higherRanked < routersPerSource
 }
 
+// position is how far a source's events have been read.
+type position struct {
+	bootEpoch, nextSequence uint64
+	readAt                  time.Time
+}
+
+// missedAfter is the time without a successful read after which a source may have many
+// events: several polls.
+const missedAfter = 4 * time.Second
+
 func (c *CacheEvents) follow(ctx context.Context, s eventSource) {
-	var bootEpoch, nextSequence uint64
-	c.waitForTurn(ctx, s.id)
+	var p position
 	for ctx.Err() == nil {
-		response, err := c.fetchEvents(ctx, s, nextSequence)
+		var err error
+		if time.Since(p.readAt) < missedAfter {
+			_, err = c.readEvents(ctx, s, &p, func() {})
+		} else {
+			err = c.readMissedEvents(ctx, s, &p)
+		}
 		if err != nil {
 			c.eventCounter.WithLabelValues("failed").Inc()
 			wait.ForJittered(ctx, retryDelay)
 			continue
 		}
-		if bootEpoch == 0 {
-			c.recordCaughtUp(len(response.Events))
-		}
-		restarted := bootEpoch != 0 && response.BootEpoch != bootEpoch
-		if restarted {
-			c.log.WithFields(logrus.Fields{"endpoint": s.id, "epoch": response.BootEpoch}).Info("engine restarted with an empty cache")
-		}
-		if response.EventsLost && nextSequence != 0 {
-			c.eventCounter.WithLabelValues("lost").Inc()
-		}
-		c.eventCounter.WithLabelValues("taken").Add(float64(len(response.Events)))
-		if bootEpoch != 0 || len(response.Events) > 0 {
-			c.relay.ObserveCacheEvents(s.id, response.Events, restarted)
-		}
-		bootEpoch, nextSequence = response.BootEpoch, response.NextSequence
 		wait.ForJittered(ctx, c.PollDelay.AsDuration())
 	}
 }
 
+// readMissedEvents waits for the source's turn and reads its events.
+func (c *CacheEvents) readMissedEvents(ctx context.Context, s eventSource, p *position) error {
+	if !c.waitForTurn(ctx, s.id) {
+		return ctx.Err()
+	}
+	first := p.bootEpoch == 0
+	respondedAt := time.Now()
+	events, err := c.readEvents(ctx, s, p, func() {
+		respondedAt = time.Now()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.turns.Responded(s.id)
+	})
+	var busy time.Duration
+	if events > 0 {
+		busy = time.Since(respondedAt)
+	}
+	c.mu.Lock()
+	c.turns.End(time.Since(c.startTime), s.id, busy)
+	c.mu.Unlock()
+	if first && err == nil {
+		c.recordCaughtUp(events)
+	}
+	return err
+}
+
+// waitForTurn waits until the read of a source's missed events may begin. It returns false
+// if ctx ends before that.
+func (c *CacheEvents) waitForTurn(ctx context.Context, source string) bool {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		ok, retryIn := c.turns.TryBegin(time.Since(c.startTime), source)
+		c.mu.Unlock()
+		if ok {
+			return true
+		}
+		wait.For(ctx, retryIn)
+	}
+	return false
+}
+
+// readEvents reads and applies the events after a position and advances it. It calls
+// onResponse when the response begins, and returns the number of events.
+func (c *CacheEvents) readEvents(ctx context.Context, s eventSource, p *position, onResponse func()) (int, error) {
+	response, err := c.fetchEvents(ctx, s, p.nextSequence, onResponse)
+	if err != nil {
+		return 0, err
+	}
+	restarted := p.bootEpoch != 0 && response.BootEpoch != p.bootEpoch
+	if restarted {
+		c.log.WithFields(logrus.Fields{"endpoint": s.id, "epoch": response.BootEpoch}).Info("engine restarted with an empty cache")
+	}
+	if response.EventsLost && p.nextSequence != 0 {
+		c.eventCounter.WithLabelValues("lost").Inc()
+	}
+	c.eventCounter.WithLabelValues("taken").Add(float64(len(response.Events)))
+	if p.bootEpoch != 0 || len(response.Events) > 0 {
+		c.relay.ObserveCacheEvents(s.id, response.Events, restarted)
+	}
+	*p = position{response.BootEpoch, response.NextSequence, time.Now()}
+	return len(response.Events), nil
+}
+
 // catchUp counts the sources whose events this router has begun to read since its start.
 type catchUp struct{ sources, events int }
 
@@ -248,20 +305,7 @@
 	}
 }
 
-// waitForTurn waits until the first read of a source may begin or ctx is done.
-func (c *CacheEvents) waitForTurn(ctx context.Context, source string) {
-	for ctx.Err() == nil {
-		c.mu.Lock()
-		ok, retryIn := c.turns.TryBegin(time.Since(c.startTime), source)
-		c.mu.Unlock()
-		if ok {
-			return
-		}
-		wait.For(ctx, retryIn)
-	}
-}
-
-func (c *CacheEvents) fetchEvents(ctx context.Context, s eventSource, since uint64) (platform.CacheEventsResponse, error) {
+func (c *CacheEvents) fetchEvents(ctx context.Context, s eventSource, since uint64, onResponse func()) (platform.CacheEventsResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	httpResponse, err := c.upstream.Do(ctx, s.address, &upstream.Request{
@@ -272,6 +316,7 @@
 		return platform.CacheEventsResponse{}, err
 	}
 	defer func() { _ = httpResponse.Body.Close() }() // Close reuses the connection or closes it.
+	onResponse()
 	body, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxResponseBytes))
 	if err != nil {
 		return platform.CacheEventsResponse{}, err
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -256,11 +256,23 @@
 // ObserveCacheEvents records changes of an engine's KV cache as the engine reports
 // them. Restarted means that the cache was empty before the events.
 func (r *Relay) ObserveCacheEvents(endpoint string, events []platform.CacheEvent, restarted bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if restarted {
+		r.mu.Lock()
 		r.selector.ObserveCacheCleared(endpoint)
+		r.mu.Unlock()
 	}
+	for batch := range slices.Chunk(events, cacheEventBatch) {
+		r.observeCacheEventBatch(endpoint, batch)
+	}
+}
+
+// cacheEventBatch is the number of cache events that are recorded while requests wait for
+// the relay's lock.
+const cacheEventBatch = 256
+
+func (r *Relay) observeCacheEventBatch(endpoint string, events []platform.CacheEvent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, e := range events {
 		weightsVersion, team, ok := parseCacheNamespace(e.CacheNamespace)
 		if !ok {
