Send no request whose caller left or whose deadline passed

Cause: before a request is sent, only its context is asked, and not after a connection was dialled. The HTTP server ends the context from a goroutine of its own and the deadline from a timer; in a router without processor time both come late, while the goroutine of the request goes on. Besides, a deadline that passed while the router connected counted as an unreachable endpoint, which was suspended, and the request was tried at the next one.

Now the last step before the send looks at the clock and at the caller's socket. Such a request ends as caller_left or expired (new), tells nothing about the endpoint and is not tried again; the connection stays in its pool.

TestDeadlineBeforeSendingTellsNothingAboutTheEndpoint, TestAbandonedRequestEndsForTheCallerThatLeft.

--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -131,7 +131,7 @@
 	}
 	g.server = &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdleTimeout,
-		MaxHeaderBytes: serverMaxHeaderBytes, ErrorLog: nil,
+		MaxHeaderBytes: serverMaxHeaderBytes, ErrorLog: nil, ConnContext: withConnection,
 	}
 	g.log.WithField("address", listener.Addr().String()).Info("serving callers")
 	go func() {
@@ -231,6 +231,7 @@
 		ID: r.Header.Get(platform.HeaderRequestID), Method: r.Method, URI: requestTarget(r), Host: r.Host, Header: r.Header,
 		Body: body, Route: route, Team: team, Service: route.PickService(rand.Float64()), ArrivedAt: arrivedAt,
 		ConfigurationVersion: config.Version, LastEventID: r.Header.Get(platform.HeaderLastEventID),
+		CallerLeft: callerLeft(r.Context()),
 	}
 	return req, decodeHeaders(req, r.Header)
 }
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -71,6 +71,8 @@
 	resultDone resultKind = iota
 	// resultNotSent means that the endpoint could not be reached.
 	resultNotSent
+	// resultExpired means that the request's deadline passed before it was sent.
+	resultExpired
 	// resultRefused means that the endpoint reported that it did not run the
 	// request.
 	resultRefused
@@ -94,7 +96,7 @@
 
 // resultNames maps results to their names in metrics and logs.
 var resultNames = map[resultKind]string{
-	resultDone: "done", resultNotSent: "unreachable", resultRefused: "refused_by_endpoint",
+	resultDone: "done", resultNotSent: "unreachable", resultExpired: "expired", resultRefused: "refused_by_endpoint",
 	resultErrorResponse: "endpoint_error", resultIncompleteResponse: "broken", resultTimeout: "no_answer",
 	resultMoved: "moved", resultWithdrawn: "withdrawn", resultCallerDisconnected: "caller_left",
 }
@@ -272,7 +274,7 @@
 // recordFailure counts and logs a failed attempt.
 func (x *execution) recordFailure(c selection.Choice) {
 	switch x.lastResult.kind {
-	case resultNotSent:
+	case resultNotSent, resultExpired:
 		x.notSentCount++
 	case resultRefused:
 		x.refusedCount++
@@ -325,6 +327,8 @@
 		return DeniedDeadline
 	}
 	switch x.lastResult.kind {
+	case resultExpired:
+		return DeniedDeadline
 	case resultNotSent:
 		return deniedUnless(x.notSentCount < maxUnreachableEndpoints, DeniedAttempts)
 	case resultMoved, resultTimeout:
@@ -445,6 +449,7 @@
 	r := &upstream.Request{
 		Method: x.req.Method, URI: x.req.URI, Host: x.req.Host, Body: x.req.Body,
 		Header: platform.ForwardedRequestHeader(x.req.Header, x.routerHeaderValues(c)), ID: x.req.ID, IDHeader: platform.HeaderRequestID,
+		Abandoned: x.req.CallerLeft,
 	}
 	if !x.req.Route.Repeatable() {
 		r.MaxIdleTime = maxIdleTimeNonRepeatable
--- a/modules/relay/execution_test.go
+++ b/modules/relay/execution_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
@@ -26,6 +27,7 @@
 // it connected to the endpoint.
 func TestWithdrawalWhileConnectingTellsNothingAboutTheEndpoint(t *testing.T) {
 	notSent := errors.Mark(io.EOF, upstream.ErrNotSent)
+	req := &Request{Deadline: time.Now().Add(time.Minute)}
 	for _, c := range []struct {
 		cause error
 		want  selection.Outcome
@@ -39,9 +41,27 @@
 		if c.cause != nil {
 			cancel(c.cause)
 		}
-		res := (&attempt{requestCtx: t.Context()}).resultOfError(ctx, notSent)
+		res := (&attempt{execution: &execution{req: req}, requestCtx: t.Context()}).resultOfError(ctx, notSent)
 		assert.Equal(t, res.kind, resultNotSent, "%v", c.cause)
 		assert.Equal(t, res.endpointOutcome(), c.want, "%v", c.cause)
 		cancel(nil)
 	}
 }
+
+// Guards against suspending a sound endpoint, and against trying the next one, because the
+// deadline of a request passed before the router had a connection.
+func TestDeadlineBeforeSendingTellsNothingAboutTheEndpoint(t *testing.T) {
+	x := &execution{req: &Request{Deadline: time.Now().Add(-time.Millisecond)}}
+	for _, err := range []error{errors.Mark(io.EOF, upstream.ErrNotSent), errors.Mark(upstream.ErrAbandoned, upstream.ErrNotSent)} {
+		x.lastResult = (&attempt{execution: x, requestCtx: t.Context()}).resultOfError(t.Context(), err)
+		assert.Equal(t, x.lastResult.endpointOutcome(), selection.OutcomeNeutral)
+		assert.Equal(t, x.retryDenial(t.Context()), DeniedDeadline)
+	}
+}
+
+// Guards against an answer to a caller that has closed its connection.
+func TestAbandonedRequestEndsForTheCallerThatLeft(t *testing.T) {
+	x := &execution{req: &Request{Deadline: time.Now().Add(time.Minute), CallerLeft: func() bool { return true }}}
+	res := (&attempt{execution: x, requestCtx: t.Context()}).resultOfError(t.Context(), errors.Mark(upstream.ErrAbandoned, upstream.ErrNotSent))
+	assert.Equal(t, res.kind, resultCallerDisconnected)
+}
--- a/modules/relay/job.go
+++ b/modules/relay/job.go
@@ -25,6 +25,9 @@
 	// Prompt is nil for requests to plain services.
 	Prompt    *fleet.Prompt
 	ArrivedAt time.Time
+	// CallerLeft reports whether the caller has closed its connection, which the request's
+	// context tells later. nil means that only the context tells.
+	CallerLeft func() bool
 	// Deadline is when the caller stops waiting or the route's timeout ends,
 	// whichever is earlier.
 	Deadline time.Time
@@ -48,6 +51,9 @@
 	return h.Sum64()
 }
 
+// deadlinePassed reports whether the caller no longer waits.
+func (r *Request) deadlinePassed() bool { return !time.Now().Before(r.Deadline) }
+
 func (r *Request) teamName() string {
 	if r.Team == nil {
 		return ""
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -118,8 +118,10 @@
 // resultOfError returns the result of an attempt whose HTTP request failed with err.
 func (a *attempt) resultOfError(ctx context.Context, err error) result {
 	switch {
-	case errors.Is(a.requestCtx.Err(), context.Canceled):
+	case errors.Is(a.requestCtx.Err(), context.Canceled), errors.Is(err, upstream.ErrAbandoned) && a.req.CallerLeft != nil && a.req.CallerLeft():
 		return result{kind: resultCallerDisconnected, err: err}
+	case errors.Is(err, upstream.ErrNotSent) && a.req.deadlinePassed():
+		return result{kind: resultExpired, err: err}
 	case errors.Is(err, upstream.ErrNotSent):
 		ended := errors.IsAny(context.Cause(ctx), errMovedForWeightsChange, errWeightsExpired)
 		return result{kind: resultNotSent, err: err, endedByRouter: ended}
@@ -317,7 +319,7 @@
 		return selection.OutcomeIncompleteResponse
 	case resultRefused:
 		return selection.OutcomeRefused
-	case resultCallerDisconnected, resultMoved, resultWithdrawn:
+	case resultCallerDisconnected, resultExpired, resultMoved, resultWithdrawn:
 		return selection.OutcomeNeutral
 	}
 	return selection.OutcomeGood
--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -30,6 +30,9 @@
 	// ErrIncompleteResponse means that at least a part of the request was sent and no
 	// complete response to it arrived. The request may have run.
 	ErrIncompleteResponse = errors.New("connection failed before the response was complete")
+	// ErrAbandoned means that the request was given up before it was sent. Such an error
+	// also matches ErrNotSent.
+	ErrAbandoned = errors.New("request was given up before it was sent")
 )
 
 // ConnectionLost reports whether err means that the endpoint closed or reset the
@@ -136,6 +139,9 @@
 	MaxIdleTime time.Duration
 	// MaxConnections bounds the open connections to the endpoint. 0 means no limit.
 	MaxConnections int
+	// Abandoned reports whether the request was given up meanwhile. Do calls it last before
+	// it sends the request. nil means that only the context tells.
+	Abandoned func() bool
 	// SentAt is when Do began to send the request. Do sets it; it stays zero if no
 	// connection was available.
 	SentAt time.Time
@@ -162,6 +168,10 @@
 		c.failures.WithLabelValues("dial").Inc()
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrNotSent)
 	}
+	if r.abandoned(ctx) {
+		c.putIdle(cn)
+		return nil, errors.Mark(ErrAbandoned, ErrNotSent)
+	}
 	cn.closeOnContextEnd(ctx)
 	response, err := cn.roundTrip(r)
 	if err != nil {
@@ -175,6 +185,15 @@
 	return response, nil
 }
 
+// abandoned reports whether the request was given up. The deadline of ctx may have passed
+// although ctx has not ended, because timers fire late in a busy process.
+func (r *Request) abandoned(ctx context.Context) bool {
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		return true
+	}
+	return ctx.Err() != nil || r.Abandoned != nil && r.Abandoned()
+}
+
 // acquireConn returns an idle connection or opens one.
 func (c *Client) acquireConn(ctx context.Context, address string, r *Request) (*conn, error) {
 	limit := c.MaxIdleTime.AsDuration()
--- a/modules/upstream/upstream_test.go
+++ b/modules/upstream/upstream_test.go
@@ -178,3 +178,57 @@
 	assert.NilError(t, err)
 	assert.NilError(t, second.Body.Close())
 }
+
+// Guards against sending a request that was given up while the router waited for a
+// connection or for processor time.
+func TestRequestThatWasGivenUpIsNotSent(t *testing.T) {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	expired, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+	defer cancel()
+	for name, c := range map[string]struct {
+		ctx       context.Context
+		abandoned func() bool
+	}{
+		"ended":     {ended, nil},
+		"expired":   {expired, nil},
+		"abandoned": {context.Background(), func() bool { return true }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := newClient()
+			var requests atomic.Int32
+			address, connections := startEndpoint(t, func(conn net.Conn, r *bufio.Reader) {
+				for {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					requests.Add(1)
+					_, _ = io.WriteString(conn, okResponse(request.Header.Get("Request-Id"), "1"))
+				}
+			})
+			request := func(id string, abandoned func() bool) *Request {
+				return &Request{
+					Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{"Request-Id": {id}}, ID: id, IDHeader: "Request-Id",
+					Abandoned: abandoned,
+				}
+			}
+			send := func(ctx context.Context, r *Request) error {
+				response, err := client.Do(ctx, address, r)
+				if err != nil {
+					return err
+				}
+				_, err = io.Copy(io.Discard, response.Body)
+				return errors.CombineErrors(err, response.Body.Close())
+			}
+			assert.NilError(t, send(context.Background(), request("first", nil)))
+			given := request("given-up", c.abandoned)
+			err := send(c.ctx, given)
+			assert.Assert(t, errors.Is(err, ErrNotSent) && errors.Is(err, ErrAbandoned), "%v", err)
+			assert.Assert(t, given.SentAt.IsZero())
+			assert.NilError(t, send(context.Background(), request("last", nil)))
+			assert.Equal(t, requests.Load(), int32(2))
+			assert.Equal(t, connections.Load(), int32(1))
+		})
+	}
+}
