--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -56,6 +56,8 @@
 	orderVersions   []uint64
 	faultsLeft      int
 	fault           Fault
+	// responseHeader is added to all responses.
+	responseHeader http.Header
 }
 
 // Fault is an injected failure to answer a request.
@@ -88,6 +90,28 @@
 	e.faultsLeft, e.fault = n, f
 }
 
+// SetResponseHeader adds a header to all responses from now on. An empty value removes it.
+func (e *Endpoint) SetResponseHeader(name, value string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.responseHeader == nil {
+		e.responseHeader = http.Header{}
+	}
+	if value == "" {
+		e.responseHeader.Del(name)
+		return
+	}
+	e.responseHeader.Set(name, value)
+}
+
+func (e *Endpoint) addResponseHeader(to http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for name, values := range e.responseHeader {
+		to[name] = values
+	}
+}
+
 // SetWeightsVersion sets the weights version that the endpoint serves.
 func (e *Endpoint) SetWeightsVersion(version uint64) {
 	e.mu.Lock()
@@ -156,6 +180,7 @@
 
 // ServeHTTP serves the engine API and executes all other requests.
 func (e *Endpoint) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	e.addResponseHeader(rw.Header())
 	if expectedID := r.Header.Get("Expect-Instance"); expectedID != "" && expectedID != e.ID {
 		rw.Header().Set("Instance-Id", e.ID)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
