Keep to the rate that an endpoint states for all routers

Cause: a missing capability. No code read the limit, and no part of the router could have split it between routers that were told at different times.

decision/throttle leaves a limited endpoint to a few routers, found alike by rendezvous hashing, each with an even share of the rate and a token bucket that starts empty. The number of members follows the rate, so that the requests that members may send in advance stay small against it, at 4 routers as at 380. Messages between routers carry limits with a count of their changes. A response loosens a limit only if its request was sent after the limit was known. The selector leaves out endpoints without a token; if no other endpoint is left, the caller is refused at once (endpoint_limits) with the time of the next turn.

--- a/cmd/arbutus-front/limits_test.go
+++ b/cmd/arbutus-front/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -25,6 +26,8 @@
 	limited, free := c.startEndpoint(appEndpoint("limited")), c.startEndpoint(appEndpoint("free"))
 	limited.SetResponseHeader("Server-Limit", "2.0")
 	routers := []*testRouter{c.startRouter(), c.startRouter()}
+	// A connection that a caller opened and did not need delays the stop of a router.
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
 	start := time.Now()
 	var callers sync.WaitGroup
 	for caller := range 8 {
@@ -41,3 +44,27 @@
 	assert.Assert(t, count <= limitAllowance(limit, time.Since(start)), "%v requests in %v", count, time.Since(start))
 	assert.Equal(t, len(limited.ExecutedRequests())+len(free.ExecutedRequests()), 80)
 }
+
+// Guards against a caller that waits, or is told nothing, when the limits of all endpoints
+// are used up, and against a limit that holds on after the endpoint no longer states it.
+func TestCallersAreToldWhenToReturnToLimitedEndpoints(t *testing.T) {
+	c := newCluster(t)
+	limited := c.startEndpoint(appEndpoint("limited"))
+	limited.SetResponseHeader("Server-Limit", "0.4")
+	router := c.startRouter()
+	assert.Equal(t, router.send("first", http.MethodPost, "/post/x", "entry").status, http.StatusOK)
+	refused := router.send("second", http.MethodPost, "/post/x", "entry")
+	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
+	retryAfter, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, retryAfter > 0)
+	assert.Equal(t, len(limited.ExecutedRequests()), 1)
+	assert.Assert(t, c.logs.wasLogged("request refused because of endpoint limits"))
+	limited.SetResponseHeader("Server-Limit", "")
+	c.eventually("a request is sent again", func() bool {
+		return router.send("third", http.MethodPost, "/post/x", "entry").status == http.StatusOK
+	})
+	for i := range 5 {
+		assert.Equal(t, router.send(fmt.Sprintf("after-%d", i), http.MethodPost, "/post/x", "entry").status, http.StatusOK)
+	}
+}
--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -51,6 +51,11 @@
 	"engine restarted with an empty cache":        {"endpoint", "epoch"},
 	"KV cache store reachability changed":         {"address", "down"},
 
+	// Limits that endpoints state.
+	"endpoint request limit changed":             {"endpoint", "limit", "before", "routers", "source"},
+	"ignored malformed request limit":            {"request", "endpoint", "error"},
+	"request refused because of endpoint limits": {"request", "route", "service", "ready_ms", "rate", "retry_after_ms"},
+
 	// Budgets and requests that crash endpoints.
 	"retry budget exhausted":                        {"service", "first", "retries", "slack"},
 	"retry budget available again":                  {"service", "first", "retries", "slack"},
--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -103,6 +103,7 @@
 
 // ObserveStarted records that a request was sent to the chosen endpoint.
 func (s *Selector) ObserveStarted(now time.Duration, r *Request, c Choice) {
+	s.throttle.Take(now, c.Endpoint.ID)
 	st := s.endpointState(c.Endpoint.ID)
 	st.running++
 	if r.IsLong() {
@@ -366,6 +367,7 @@
 func (s *Selector) ForgetRemovedEndpoints(v *fleet.View) {
 	// The pools of earlier views are no longer needed.
 	clear(s.pools)
+	s.throttle.Forget(func(id string) bool { return v.EndpointsByID[id] != nil })
 	for id, st := range s.endpoints {
 		if v.EndpointsByID[id] != nil || st.running > 0 {
 			continue
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/arbutusline/arbutusline/decision/throttle"
 	"github.com/arbutusline/arbutusline/fleet"
 )
 
@@ -107,6 +108,12 @@
 	// without missing parts are not saved: a save also stores the prompt's last part,
 	// which evicts parts that other prompts use.
 	SaveTo string
+	// ThrottledFor is how long no endpoint may be selected because of what endpoints
+	// stated, although some could run the request otherwise, and ThrottledRate the rate at
+	// which this router may send requests to them then, in requests a second. Both are 0
+	// if an endpoint was selected.
+	ThrottledFor  time.Duration
+	ThrottledRate float64
 	// WeightsExpired means that no endpoint was selected although some could run the
 	// request, because their weights were superseded too long ago.
 	WeightsExpired bool
@@ -127,6 +134,7 @@
 	prefillPerToken, recomputePerToken time.Duration
 	// kvCacheStore is the address of the KV cache store, empty when there is none.
 	kvCacheStore string
+	throttle     *throttle.Table
 	scratch      scratch
 }
 
@@ -155,18 +163,23 @@
 	prefillPerToken := float64(time.Millisecond) / cfg.PrefillTokensPerMS
 	return &Selector{
 		cfg: cfg, zone: zone, endpoints: map[string]*endpointState{}, partIndex: newPartIndex(cfg.MaxParts), pools: map[poolKey]*pool{},
+		throttle:        throttle.New(),
 		prefillPerToken: time.Duration(prefillPerToken), recomputePerToken: time.Duration(prefillPerToken * cfg.RecomputeFactor),
 	}
 }
 
+// Throttle returns the table of the endpoints' limits, which the Selector follows.
+func (s *Selector) Throttle() *throttle.Table { return s.throttle }
+
 // SetWeightsLimits replaces Config.OldWeightsLimit and Config.WeightsDeadline.
 func (s *Selector) SetWeightsLimits(oldWeightsLimit, weightsDeadline time.Duration) {
 	s.cfg.OldWeightsLimit, s.cfg.WeightsDeadline = oldWeightsLimit, weightsDeadline
 }
 
 // Select returns the cheapest endpoint of the request's service, or false when none
-// may run the request; the choice then has only WeightsExpired. Now is the time since an arbitrary origin. Wall is the current
-// time on the clock of View.PublishedWeightsVersions.
+// may run the request; the choice then has only WeightsExpired and ThrottledFor. Now is the
+// time since an arbitrary origin. Wall is the current time on the clock of
+// View.PublishedWeightsVersions.
 func (s *Selector) Select(now time.Duration, wall time.Time, v *fleet.View, r *Request) (Choice, bool) {
 	d := decision{Selector: s, now: now, wall: wall, request: r, isLong: r.IsLong(), pool: s.pool(v, r), bestIndex: -1}
 	d.fetchPlan.firstPreferred, d.fetchPlan.secondPreferred = -1, -1
@@ -181,7 +194,7 @@
 		}
 	}
 	if d.bestIndex < 0 {
-		return Choice{WeightsExpired: d.weightsExpiredSeen}, false
+		return Choice{WeightsExpired: d.weightsExpiredSeen, ThrottledFor: d.throttledFor, ThrottledRate: d.throttledRate()}, false
 	}
 	choice := d.result()
 	if r.Prompt != nil && s.kvCacheStore != "" && choice.CachedTokens < d.sharedTokens && s.storeCoverage(choice.WeightsVersion).tokens < d.sharedTokens {
@@ -210,6 +223,8 @@
 	bestCost  time.Duration
 	// weightsExpiredSeen is true if a candidate was left out only for its weights.
 	weightsExpiredSeen bool
+	// throttledFor is as in Choice.
+	throttledFor time.Duration
 }
 
 // findHolders finds the endpoints that hold parts of the prompt.
@@ -318,7 +333,32 @@
 func (d *decision) usable(c *candidate) bool {
 	st := c.state
 	return !st.full(c.endpoint) && d.now >= st.refusalBackoffUntil && (st.weightsChange.version == 0 || !st.changingWeights(d.now, c.endpoint) && !(d.isLong && st.changingWeightsSoon(d.now, c.endpoint))) &&
-		(len(d.request.Exclude) == 0 || !slices.Contains(d.request.Exclude, c.endpoint.ID)) && !d.expired(c)
+		(len(d.request.Exclude) == 0 || !slices.Contains(d.request.Exclude, c.endpoint.ID)) && !d.expired(c) && !d.throttled(c)
+}
+
+// throttled reports whether the candidate's limit allows no request now.
+func (d *decision) throttled(c *candidate) bool {
+	wait := d.throttle.ReadyIn(d.now, c.endpoint.ID)
+	if wait == 0 {
+		return false
+	}
+	if d.throttledFor == 0 || wait < d.throttledFor {
+		d.throttledFor = wait
+	}
+	return true
+}
+
+// throttledRate returns the rate at which this router may send requests to the candidates
+// with limits, in requests a second.
+func (d *decision) throttledRate() float64 {
+	if d.throttledFor == 0 {
+		return 0
+	}
+	rate := 0.0
+	for i := range d.pool.candidates {
+		rate += d.throttle.Rate(d.now, d.pool.candidates[i].endpoint.ID)
+	}
+	return rate
 }
 
 // MustWithdraw reports whether a request that was sent to an endpoint with the given
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -65,6 +65,8 @@
 	// cachedPartsLifetime is how long each message repeats new cached parts, which is
 	// several rounds.
 	cachedPartsLifetime = 500 * time.Millisecond
+	// maxLimitsPerMessage is the maximum number of endpoint limits in a message.
+	maxLimitsPerMessage = 256
 	// maxCrashReportsPerMessage is the maximum number of crash reports in a message.
 	maxCrashReportsPerMessage = 64
 )
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -9,6 +9,7 @@
 	"github.com/arbutusline/arbutusline/decision/replica"
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/decision/strikes"
+	"github.com/arbutusline/arbutusline/decision/throttle"
 	"github.com/arbutusline/arbutusline/modules/directory"
 )
 
@@ -39,6 +40,11 @@
 		})
 	}
 	out.Suspects = x.pendingSuspects()
+	for _, l := range x.relay.PendingLimits(maxLimitsPerMessage) {
+		out.Limits = append(out.Limits, &arbutuspb.EndpointLimit{
+			Endpoint: l.Endpoint, Version: l.Version, Confirmations: l.Confirmations, RequestsPerSecond: l.Rate,
+		})
+	}
 	out.Changes, out.Parts = x.recentUpdates()
 	out.Named = x.recentPublishTimes()
 	if in != nil {
@@ -122,6 +128,13 @@
 		})
 	}
 	x.relay.MergeSuspects(decodeSuspects(in.GetSuspects()))
+	limits := make([]throttle.Report, 0, len(in.GetLimits()))
+	for _, l := range in.GetLimits() {
+		limits = append(limits, throttle.Report{
+			Endpoint: l.GetEndpoint(), Version: l.GetVersion(), Confirmations: l.GetConfirmations(), Rate: l.GetRequestsPerSecond(),
+		})
+	}
+	x.relay.MergeLimits(limits)
 	parts := make([]selection.CachedParts, 0, len(in.GetParts()))
 	for _, p := range in.GetParts() {
 		parts = append(parts, selection.CachedParts{EndpointID: p.GetEndpoint(), WeightsVersion: p.GetWeights(), Keys: p.GetKeys(), Computed: p.GetRead()})
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -198,7 +198,7 @@
 		switch verdict {
 		case overload.Start:
 		case overload.Wait:
-			x.respondFailure(ctx, unavailableReason(choice))
+			x.respondUnavailable(ctx, choice)
 			return
 		default:
 			x.refuseOverload(choice, verdict)
@@ -223,12 +223,18 @@
 	}
 }
 
-// unavailableReason returns why no endpoint was selected.
-func unavailableReason(c selection.Choice) string {
-	if c.WeightsExpired {
-		return "weights_expired"
+// respondUnavailable ends a request for which no endpoint was selected.
+func (x *execution) respondUnavailable(ctx context.Context, c selection.Choice) {
+	switch {
+	case c.ThrottledFor > 0 && x.mayHaveRunCount == 0 && !x.headerSent && ctx.Err() == nil:
+		x.refuseThrottled(c)
+	case c.ThrottledFor > 0:
+		x.respondFailure(ctx, reasonThrottled)
+	case c.WeightsExpired:
+		x.respondFailure(ctx, "weights_expired")
+	default:
+		x.respondFailure(ctx, "no_endpoint")
 	}
-	return "no_endpoint"
 }
 
 // reasonPartCrashesEngines is the reason of refusals because of a part of the prompt.
@@ -372,7 +378,7 @@
 	for ctx.Err() == nil {
 		held := time.Since(waitingSince)
 		c, verdict := x.selectEndpoint(held)
-		if verdict != overload.Wait || held > limit || x.condemned {
+		if verdict != overload.Wait || held+c.ThrottledFor > limit || x.condemned {
 			return c, verdict
 		}
 		wait.For(ctx, selectPollInterval)
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -209,7 +209,9 @@
 	defer r.mu.Unlock()
 	if r.routerNames == nil || !maps.Equal(names, r.routerNames) {
 		r.routerNames = names
-		r.suspects.SetRouters(r.now(), r.routerID, slices.Collect(maps.Keys(names)))
+		others := slices.Collect(maps.Keys(names))
+		r.suspects.SetRouters(r.now(), r.routerID, others)
+		r.selector.Throttle().SetRouters(r.routerID, others)
 	}
 	r.selector.SetRouters(position, routers)
 	r.selector.ForgetRemovedEndpoints(view)
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -85,6 +85,7 @@
 	defer func() { _ = response.Body.Close() }() // returns the connection to its pool or closes it
 	a.headReceived = true
 	a.observeWeightsVersion(response)
+	a.observeStatements(request, response)
 	if response.Status == http.StatusMisdirectedRequest || response.Header.Get(platform.HeaderNotExecuted) != "" {
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
 		return result{kind: resultRefused, status: response.Status, header: response.Header, err: err, wrongEndpoint: a.refusedByOtherEndpoint(response)}
@@ -98,6 +99,16 @@
 	return a.forwardBuffered(ctx, response)
 }
 
+// observeStatements records what the endpoint states about itself, unless another endpoint
+// or something else responded.
+func (a *attempt) observeStatements(request *upstream.Request, response *upstream.Response) {
+	signed := response.Header.Get(platform.HeaderSignature) != "" || response.Header.Get(platform.HeaderNotExecuted) != ""
+	if !signed || a.refusedByOtherEndpoint(response) {
+		return
+	}
+	a.observeLimit(request, response)
+}
+
 // firstByteTimeout returns how long the attempt may wait for the first byte of the
 // response, or 0 if only the request's deadline limits it.
 func (a *attempt) firstByteTimeout() time.Duration {
