Take no response with a request's ID for that of a call without one

Reported by other operators: a faulty endpoint wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which ran. Requests are matched with responses by their IDs, so their callers could not be told so here, also not by a refusal without an ID. Calls of the engine API have no ID, and took whatever came: a weights order could count as refused that the engine carried out, and the status of an engine as missing. They now take only responses without an ID.

TestEarlierRefusalIsNotTheNextResponse: before, the engine call gets the refusal (503), the requests pass. TestMaxConnections sent requests without an ID to an endpoint whose responses had one; they have one now, its counts are the same.

--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -454,7 +454,7 @@
 func (x *execution) upstreamRequest(c selection.Choice) *upstream.Request {
 	r := &upstream.Request{
 		Method: x.req.Method, URI: x.req.URI, Host: x.req.Host, Body: x.req.Body,
-		Header: platform.ForwardedRequestHeader(x.req.Header, x.routerHeaderValues(c)), ID: x.req.ID, IDHeader: platform.HeaderRequestID,
+		Header: platform.ForwardedRequestHeader(x.req.Header, x.routerHeaderValues(c)), ID: x.req.ID,
 		Abandoned: x.req.CallerLeft,
 	}
 	if !x.req.Route.Repeatable() {
--- a/modules/upstream/conn.go
+++ b/modules/upstream/conn.go
@@ -151,7 +151,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.ID == "" || response.Header.Get(r.IDHeader) == r.ID {
+		if response.Header.Get(platform.HeaderRequestID) == r.ID {
 			return cn.newResponse(response), nil
 		}
 		if err := discardResponse(response); err != nil {
--- a/modules/upstream/endless_test.go
+++ b/modules/upstream/endless_test.go
@@ -85,7 +85,7 @@
 	size := maxHeadBytes + 1<<20
 	address, _ := startEndpoint(t, respondWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))))
 	response, err := newClient().Do(context.Background(), address, &Request{
-		Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}, ID: "a", IDHeader: "Request-Id",
+		Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}, ID: "a",
 	})
 	assert.NilError(t, err)
 	n, err := io.Copy(io.Discard, response.Body)
--- a/modules/upstream/lost_test.go
+++ b/modules/upstream/lost_test.go
@@ -37,7 +37,7 @@
 				}
 				_ = conn.Close()
 			}()
-			_, err = newClient().Do(context.Background(), listener.Addr().String(), &Request{Method: "GET", URI: "/", Host: "h", ID: "1", IDHeader: "Request-Id"})
+			_, err = newClient().Do(context.Background(), listener.Addr().String(), &Request{Method: "GET", URI: "/", Host: "h", ID: "1"})
 			assert.Assert(t, errors.Is(err, ErrIncompleteResponse), "%v", err)
 			assert.Equal(t, ConnectionLost(err), c.lost, "%v", err)
 		})
--- a/modules/upstream/unframed_test.go
+++ b/modules/upstream/unframed_test.go
@@ -40,7 +40,7 @@
 			})
 			c := newClient()
 			response, err := c.Do(t.Context(), address, &Request{
-				Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}, ID: "a", IDHeader: "Request-Id",
+				Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}, ID: "a",
 			})
 			assert.NilError(t, err)
 			first := make([]byte, 4)
--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -129,11 +129,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID is the expected request ID in the response. If it is empty, any response is
-	// accepted.
+	// ID is the request's ID, which the response must repeat. If it is empty, the response
+	// must have none.
 	ID string
-	// IDHeader is the response header that repeats ID.
-	IDHeader string
 	// MaxIdleTime is the longest time that a connection may have been idle before it
 	// is used for this request. 0 means the client's limit.
 	MaxIdleTime time.Duration
--- a/modules/upstream/upstream_test.go
+++ b/modules/upstream/upstream_test.go
@@ -75,7 +75,7 @@
 
 func doGet(c *Client, address, id string) (string, error) {
 	response, err := c.Do(context.Background(), address, &Request{
-		Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}, ID: id, IDHeader: "Request-Id",
+		Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}, ID: id,
 	})
 	if err != nil {
 		return "", err
@@ -133,7 +133,7 @@
 	address, _ = startEndpoint(t, respondWith("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 9\r\n\r\n12"))
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	response, err := c.Do(ctx, address, &Request{Method: http.MethodGet, URI: "/", Header: http.Header{}, ID: "a", IDHeader: "Request-Id"})
+	response, err := c.Do(ctx, address, &Request{Method: http.MethodGet, URI: "/", Header: http.Header{}, ID: "a"})
 	assert.NilError(t, err)
 	_, err = io.ReadAll(response.Body)
 	assert.Assert(t, errors.Is(err, ErrIncompleteResponse), "%v", err)
@@ -152,7 +152,7 @@
 		time.Sleep(time.Second)
 	})
 	response, err := c.Do(context.Background(), address, &Request{
-		Method: http.MethodPost, URI: "/", Header: http.Header{}, Body: make([]byte, 32<<20), ID: "a", IDHeader: "Request-Id",
+		Method: http.MethodPost, URI: "/", Header: http.Header{}, Body: make([]byte, 32<<20), ID: "a",
 	})
 	assert.NilError(t, err)
 	body, err := io.ReadAll(response.Body)
@@ -169,12 +169,12 @@
 func TestMaxConnections(t *testing.T) {
 	c := newClient()
 	address, _ := startEndpoint(t, respondWith(okResponse("a", "1")))
-	first, err := c.Do(context.Background(), address, &Request{Method: http.MethodGet, URI: "/", Header: http.Header{}, MaxConnections: 1})
+	first, err := c.Do(context.Background(), address, &Request{Method: http.MethodGet, URI: "/", Header: http.Header{}, ID: "a", MaxConnections: 1})
 	assert.NilError(t, err)
-	_, err = c.Do(context.Background(), address, &Request{Method: http.MethodGet, URI: "/", Header: http.Header{}, MaxConnections: 1})
+	_, err = c.Do(context.Background(), address, &Request{Method: http.MethodGet, URI: "/", Header: http.Header{}, ID: "a", MaxConnections: 1})
 	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
 	assert.NilError(t, first.Body.Close())
-	second, err := c.Do(context.Background(), address, &Request{Method: http.MethodGet, URI: "/", Header: http.Header{}, MaxConnections: 1})
+	second, err := c.Do(context.Background(), address, &Request{Method: http.MethodGet, URI: "/", Header: http.Header{}, ID: "a", MaxConnections: 1})
 	assert.NilError(t, err)
 	assert.NilError(t, second.Body.Close())
 }
@@ -209,7 +209,7 @@
 			})
 			request := func(id string, abandoned func() bool) *Request {
 				return &Request{
-					Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{"Request-Id": {id}}, ID: id, IDHeader: "Request-Id",
+					Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{"Request-Id": {id}}, ID: id,
 					Abandoned: abandoned,
 				}
 			}
@@ -232,3 +232,38 @@
 		})
 	}
 }
+
+// Guards against taking an earlier refusal that an endpoint writes once more on a kept
+// connection for the response to the next request, which runs: its caller would be told
+// that it did not run, or it would run at another endpoint, too.
+func TestEarlierRefusalIsNotTheNextResponse(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: refused\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	const unnamedRefusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct{ repeated, id, response string }{
+		"request":                       {refusal, "a", okResponse("a", "1")},
+		"request, refusal without ID":   {unnamedRefusal, "a", okResponse("a", "1")},
+		"engine call":                   {refusal, "", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"},
+		"request, refusal in two parts": {refusal + refusal, "a", okResponse("a", "1")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := newClient()
+			address, connections := startEndpoint(t, respondWith(refusal, c.repeated+c.response))
+			send := func(id string) (int, string) {
+				response, err := client.Do(context.Background(), address, &Request{
+					Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}, ID: id,
+				})
+				assert.NilError(t, err)
+				body, err := io.ReadAll(response.Body)
+				assert.NilError(t, err)
+				assert.NilError(t, response.Body.Close())
+				return response.Status, string(body)
+			}
+			status, _ := send("refused")
+			assert.Equal(t, status, http.StatusServiceUnavailable)
+			status, body := send(c.id)
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, body, "1")
+			assert.Equal(t, connections.Load(), int32(1))
+		})
+	}
+}
