Forward no error into a stream that has begun

Reported by other operators: a stream broke off, the next endpoint answered with an error, and callers found its text in their stream, which ended as if it were complete. It happened here for 3xx and 4xx: a response that is no success went through forwardBuffered, whatever the caller had already got, and counted as served; only 5xx ended the caller's connection. A success of another media type, such as a page of a proxy, was split into events, too.

A response to a resumed request now continues the stream only if it is a success of the media type that the caller was told; else it counts as an error of the endpoint. The stream goes on at another endpoint if its attempts and the retry budget allow it, or is broken off.

TestErrorAfterAStreamHasBegunIsNotPartOfIt: before, 302, 400, 404, 409 and 200 with text/plain put the text into the stream, which ended regularly; 500 passed. The path with agents exchanges decoded events and has no such case.

--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -93,12 +93,26 @@
 	if response.Header.Get(platform.HeaderSignature) == "" || response.Header.Get("Content-Encoding") != "" {
 		return result{kind: resultIncompleteResponse, status: response.Status, err: errors.New("response has no endpoint signature or has a content encoding")}
 	}
+	if a.headerSent && !a.continuesStream(response) {
+		err := errors.Newf("response to a resumed request is no part of the stream: status %d, content type %q", response.Status, response.Header.Get("Content-Type"))
+		return result{kind: resultErrorResponse, status: response.Status, err: err}
+	}
 	if a.req.Route.Kind == fleet.Stream && response.Status < http.StatusMultipleChoices {
 		return a.forwardStream(ctx, response)
 	}
 	return a.forwardBuffered(ctx, response)
 }
 
+// continuesStream reports whether a response can continue the stream that the caller is
+// receiving: a success of the same media type.
+func (a *attempt) continuesStream(response *upstream.Response) bool {
+	mediaType := func(h http.Header) string {
+		t, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+		return strings.ToLower(strings.TrimSpace(t))
+	}
+	return response.Status < http.StatusMultipleChoices && mediaType(response.Header) == mediaType(a.w.Header())
+}
+
 // observeStatements records what the endpoint states about itself, unless another endpoint
 // or something else responded.
 func (a *attempt) observeStatements(request *upstream.Request, response *upstream.Response) {
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -56,6 +56,8 @@
 	orderVersions   []uint64
 	faultsLeft      int
 	fault           Fault
+	// resumedFailure is the response to requests that resume a stream, if it is not nil.
+	resumedFailure *resumedFailure
 	// responseHeader is added to all responses.
 	responseHeader http.Header
 }
@@ -90,6 +92,34 @@
 	e.faultsLeft, e.fault = n, f
 }
 
+// resumedFailure is a response that is no stream.
+type resumedFailure struct {
+	status            int
+	contentType, body string
+}
+
+// FailResumedStreams makes the endpoint execute requests that resume a stream and answer them
+// with something else from now on.
+func (e *Endpoint) FailResumedStreams(status int, contentType, body string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resumedFailure = &resumedFailure{status, contentType, body}
+}
+
+// failResumed answers a request that resumes a stream, if it must fail.
+func (e *Endpoint) failResumed(rw http.ResponseWriter, r *http.Request) bool {
+	e.mu.Lock()
+	f := e.resumedFailure
+	e.mu.Unlock()
+	if f == nil || r.Header.Get("Last-Event-Id") == "" {
+		return false
+	}
+	rw.Header().Set("Content-Type", f.contentType)
+	rw.WriteHeader(f.status)
+	_, _ = io.WriteString(rw, f.body) // Fails only if the client disconnected.
+	return true
+}
+
 // SetResponseHeader adds a header to all responses from now on. An empty value removes it.
 func (e *Endpoint) SetResponseHeader(name, value string) {
 	e.mu.Lock()
@@ -284,6 +314,9 @@
 		rw.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if e.failResumed(rw, r) {
+		return
+	}
 	if e.Model != "" {
 		e.serveStream(rw, r, fault)
 		return
