Keep away from an endpoint for as long as it asks

The pause is kept in decision/throttle for this router alone. The selector leaves the endpoint out, its cache events are not read meanwhile, and callers are told the time of the first endpoint that is free again, up to a third of the time that they have. Weights orders and the status that belongs to them go on: they have deadlines of their own.

TestRouterKeepsAwayWhileAnEndpointAsksForIt failed before (.4 s told for a pause of 600.5 s).

--- a/cmd/arbutus-front/limits_test.go
+++ b/cmd/arbutus-front/limits_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/arbutusline/arbutusline/standin/platform"
 )
 
 // limitAllowance is the number of requests that an endpoint with a limit may get in a time,
@@ -68,3 +70,28 @@
 		assert.Equal(t, router.send(fmt.Sprintf("after-%d", i), http.MethodPost, "/post/x", "entry").status, http.StatusOK)
 	}
 }
+
+// Guards against requests to an endpoint that refused one and asked this router to stay
+// away for a time, and against callers that are told to return before that time.
+func TestRouterKeepsAwayWhileAnEndpointAsksForIt(t *testing.T) {
+	c := newCluster(t)
+	busy := c.startEndpoint(appEndpoint("busy"))
+	busy.SetResponseHeader("Retry-After", "600.5")
+	busy.InjectFault(1, platform.FaultNotExecuted)
+	router := c.startRouter()
+	refused := router.send("refused", http.MethodPost, "/post/x", "entry")
+	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
+	retryAfter, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, retryAfter > 1, "%v", retryAfter)
+	free := c.startEndpoint(appEndpoint("free"))
+	c.eventually("the other endpoint is used", func() bool {
+		return router.send("first", http.MethodGet, "/look/x", "").status == http.StatusOK
+	})
+	for i := range 30 {
+		assert.Equal(t, router.send(fmt.Sprintf("r%d", i), http.MethodGet, "/look/x", "").status, http.StatusOK)
+		time.Sleep(10 * time.Millisecond) // Longer in all than the router's own backoff.
+	}
+	assert.Equal(t, len(busy.ExecutedRequests()), 0)
+	assert.Equal(t, len(free.ExecutedRequests()), 31)
+}
--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -52,9 +52,11 @@
 	"KV cache store reachability changed":         {"address", "down"},
 
 	// Limits that endpoints state.
-	"endpoint request limit changed":             {"endpoint", "limit", "before", "routers", "source"},
-	"ignored malformed request limit":            {"request", "endpoint", "error"},
-	"request refused because of endpoint limits": {"request", "route", "service", "ready_ms", "rate", "retry_after_ms"},
+	"endpoint request limit changed":                  {"endpoint", "limit", "before", "routers", "source"},
+	"ignored malformed request limit":                 {"request", "endpoint", "error"},
+	"endpoint asked for a pause":                      {"request", "endpoint", "status", "for_ms"},
+	"ignored malformed time to return to an endpoint": {"request", "endpoint", "error"},
+	"request refused because of endpoint limits":      {"request", "route", "service", "ready_ms", "rate", "retry_after_ms"},
 
 	// Budgets and requests that crash endpoints.
 	"retry budget exhausted":                        {"service", "first", "retries", "slack"},
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -332,8 +332,8 @@
 // failures.
 func (d *decision) usable(c *candidate) bool {
 	st := c.state
-	return !st.full(c.endpoint) && d.now >= st.refusalBackoffUntil && (st.weightsChange.version == 0 || !st.changingWeights(d.now, c.endpoint) && !(d.isLong && st.changingWeightsSoon(d.now, c.endpoint))) &&
-		(len(d.request.Exclude) == 0 || !slices.Contains(d.request.Exclude, c.endpoint.ID)) && !d.expired(c) && !d.throttled(c)
+	return !st.full(c.endpoint) && !d.throttled(c) && d.now >= st.refusalBackoffUntil && (st.weightsChange.version == 0 || !st.changingWeights(d.now, c.endpoint) && !(d.isLong && st.changingWeightsSoon(d.now, c.endpoint))) &&
+		(len(d.request.Exclude) == 0 || !slices.Contains(d.request.Exclude, c.endpoint.ID)) && !d.expired(c)
 }
 
 // throttled reports whether the candidate's limit allows no request now.
--- a/modules/cacheevents/cacheevents.go
+++ b/modules/cacheevents/cacheevents.go
@@ -210,6 +210,9 @@
 func (c *CacheEvents) follow(ctx context.Context, s eventSource) {
 	var p position
 	for ctx.Err() == nil {
+		if pause := c.relay.EndpointPause(s.id); pause > 0 {
+			wait.For(ctx, pause)
+		}
 		var err error
 		if time.Since(p.readAt) < missedAfter {
 			_, err = c.readEvents(ctx, s, &p, func() {})
--- a/modules/relay/limits.go
+++ b/modules/relay/limits.go
@@ -64,6 +64,32 @@
 	}
 }
 
+// observePause records how long an endpoint that refused a request wants no other one from
+// this router.
+func (a *attempt) observePause(response *upstream.Response) {
+	d, err := platform.RetryAfter(response.Header)
+	log := a.log().WithField("endpoint", a.choice.Endpoint.ID)
+	if err != nil {
+		log.WithError(err).Warn("ignored malformed time to return to an endpoint")
+		return
+	}
+	if d == 0 {
+		return
+	}
+	log.WithFields(logrus.Fields{"for_ms": d.Milliseconds(), "status": response.Status}).Info("endpoint asked for a pause")
+	r := a.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.selector.Throttle().ObservePause(r.now(), a.choice.Endpoint.ID, d)
+}
+
+// EndpointPause returns how much longer an endpoint wants nothing from this router.
+func (r *Relay) EndpointPause(endpoint string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.selector.Throttle().Paused(r.now(), endpoint)
+}
+
 // refuseThrottled refuses a request because the limits of all endpoints are used up.
 func (x *execution) refuseThrottled(c selection.Choice) {
 	r := x.relay
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -121,6 +121,9 @@
 		return
 	}
 	a.observeLimit(request, response)
+	if response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests {
+		a.observePause(response)
+	}
 }
 
 // firstByteTimeout returns how long the attempt may wait for the first byte of the
