Take an endpoint that says that it leaves for draining

The directory remembers the incarnation that said so and publishes it as draining, also if its object in the store vanishes and comes back; another start time ends it. It is read in responses to callers' requests and in those to requests for cache events.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -42,6 +42,7 @@
 
 	// Endpoints.
 	"endpoint added or changed state":             {"endpoint", "service", "address", "draining"},
+	"endpoint says that it leaves":                {"endpoint", "service", "address"},
 	"endpoint removed":                            {"endpoint", "service", "address"},
 	"endpoint suspended":                          {"request", "endpoint", "address", "result", "failure_share", "suspensions", "for_ms"},
 	"endpoint restored":                           {"request", "endpoint", "address", "failure_share"},
--- a/modules/cacheevents/cacheevents.go
+++ b/modules/cacheevents/cacheevents.go
@@ -327,6 +327,9 @@
 	if httpResponse.Status != http.StatusOK {
 		return platform.CacheEventsResponse{}, errors.Newf("request for cache events returned HTTP status %d", httpResponse.Status)
 	}
+	if e := c.directory.View().EndpointsByID[s.id]; e != nil && platform.Leaving(httpResponse.Header) {
+		c.directory.ObserveLeaving(e)
+	}
 	response, skipped, err := platform.DecodeCacheEvents(body)
 	if skipped > 0 {
 		c.eventCounter.WithLabelValues("unreadable").Add(float64(skipped))
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -92,7 +92,9 @@
 	// the endpoints themselves reported.
 	observedWeightsVersions map[string]map[string]uint64
 	retainedEndpoints       map[string]retainedEndpoint
-	decodedEndpoints        map[string]decodedEndpoint
+	// leavingEndpoints are the endpoints that said themselves that they shut down.
+	leavingEndpoints map[string]leavingEndpoint
+	decodedEndpoints map[string]decodedEndpoint
 	// loggedInvalidRevisions maps the name of each logged invalid object to its
 	// revision.
 	loggedInvalidRevisions map[string]uint64
@@ -147,6 +149,7 @@
 		d.replicas[kind] = replica.New()
 	}
 	d.publishedWeightsVersions, d.observedWeightsVersions = map[string][]fleet.PublishedWeightsVersion{}, map[string]map[string]uint64{}
+	d.leavingEndpoints = map[string]leavingEndpoint{}
 	d.retainedEndpoints, d.decodedEndpoints, d.loggedInvalidRevisions = map[string]retainedEndpoint{}, map[string]decodedEndpoint{}, map[string]uint64{}
 	d.view.Store(&fleet.View{})
 	d.store = platform.NewStoreClient(d.Store)
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -93,6 +93,7 @@
 		}
 	}
 	d.retainRemovedEndpointsLocked(v)
+	d.markLeavingEndpointsLocked(v)
 	for _, e := range v.EndpointsByID {
 		v.EndpointsByService[e.Service] = append(v.EndpointsByService[e.Service], e)
 	}
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -120,6 +120,9 @@
 	if !signed || a.refusedByOtherEndpoint(response) {
 		return
 	}
+	if platform.Leaving(response.Header) {
+		a.relay.directory.ObserveLeaving(a.choice.Endpoint)
+	}
 	a.observeLimit(request, response)
 	if response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests {
 		a.observePause(response)
