Follow no engine before the other routers are known

Cause: a router decides by rendezvous hashing which engines it follows. If it learns of the engines before it learns of the other routers, which is a race between two lists of the store, it takes itself for the only one and follows all of them, and it never stopped following an engine that is still there. At the first start of a deployment the list of routers is short in any case.

It now waits for the list, from the store or another router, and stops following an engine when other routers have taken it over.

--- a/modules/cacheevents/cacheevents.go
+++ b/modules/cacheevents/cacheevents.go
@@ -134,9 +134,9 @@
 }
 
 // updateFollowedSources starts following the sources of the view that this router must
-// follow, and stops following those that are no longer in the view.
+// follow, and stops following all others.
 func (c *CacheEvents) updateFollowedSources(v *fleet.View) {
-	if v.Config == nil {
+	if v.Config == nil || !c.directory.RoutersKnownLocked() {
 		return
 	}
 	routers := []string{c.node.ID}
@@ -147,7 +147,11 @@
 	defer c.mu.Unlock()
 	sources := eventSourcesOf(v)
 	for id, s := range sources {
-		if c.stopFollowing[id] != nil || !isFollower(c.node.ID, id, routers) {
+		if !isFollower(c.node.ID, id, routers) {
+			delete(sources, id)
+			continue
+		}
+		if c.stopFollowing[id] != nil {
 			continue
 		}
 		ctx, cancel := context.WithCancel(c.ctx)
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -349,6 +349,11 @@
 	return out
 }
 
+// RoutersKnownLocked reports whether the registered routers are known. Before that, a router
+// seems to be the only one. The caller holds mu, so only functions passed to Subscribe may
+// call it.
+func (d *Directory) RoutersKnownLocked() bool { return d.replicas[KindRouters].Revision() > 0 }
+
 // ZonePositionLocked returns this router's position, by name, among the registered
 // routers of its availability zone, and their number. The caller holds mu, so only
 // functions passed to Subscribe may call it.
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -295,7 +295,9 @@
 	unavailable bool
 	// resumed is closed when paused requests may continue. It is nil if requests are
 	// not paused.
-	resumed     chan struct{}
+	resumed chan struct{}
+	// pausedKind restricts the pause to requests about a kind of objects. Empty for all.
+	pausedKind  string
 	cancelFuncs map[*http.Request]context.CancelFunc
 }
 
@@ -310,10 +312,13 @@
 }
 
 // PauseRequests delays new requests until ResumeRequests.
-func (p *StoreProxy) PauseRequests() {
+func (p *StoreProxy) PauseRequests() { p.PauseKind("") }
+
+// PauseKind delays new requests about a kind of objects until ResumeRequests.
+func (p *StoreProxy) PauseKind(kind string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.resumed = make(chan struct{})
+	p.resumed, p.pausedKind = make(chan struct{}), kind
 }
 
 // ResumeRequests lets paused requests continue.
@@ -341,6 +346,9 @@
 	}
 	p.cancelFuncs[r] = cancel
 	resumed := p.resumed
+	if !strings.Contains(r.URL.Path, p.pausedKind) {
+		resumed = nil
+	}
 	p.mu.Unlock()
 	if resumed != nil {
 		select {
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -51,6 +51,7 @@
 	runningRequests int
 	executed        []ExecutedRequest
 	begunStreams    int
+	cacheEventReads int
 	fencingTokens   []uint64
 	orderHolders    []string
 	orderVersions   []uint64
@@ -170,6 +171,19 @@
 	return e.begunStreams
 }
 
+func (e *Endpoint) countCacheEventRead() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cacheEventReads++
+}
+
+// CacheEventReads returns the number of requests for cache events.
+func (e *Endpoint) CacheEventReads() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cacheEventReads
+}
+
 // OrderFencingTokens returns the fencing tokens of all weights orders that arrived,
 // accepted or not.
 func (e *Endpoint) OrderFencingTokens() []uint64 {
@@ -222,6 +236,7 @@
 	case "/order":
 		e.serveOrder(rw, r)
 	case "/kv-events":
+		e.countCacheEventRead()
 		time.Sleep(20 * time.Millisecond)
 		writeJSON(rw, http.StatusOK, map[string]any{"boot_epoch": 1, "next": 1, "lost": false, "events": []any{}})
 	default:
