Divide limits and tests of prompt parts only when the routers are known

A router then used up an endpoint's whole limit alone, and tested condemned prompt parts as if no other router could, for as long as the store kept the list from it. Both already do nothing before they are told of the routers.

TestLimitIsNotUsedBeforeTheRoutersAreKnown: before, requests are sent at the stated rate of 50 a second while the list is withheld.

--- a/cmd/arbutus-front/limits_test.go
+++ b/cmd/arbutus-front/limits_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/arbutusline/arbutusline/modules/directory"
 	"github.com/arbutusline/arbutusline/standin/platform"
 )
 
@@ -95,3 +97,26 @@
 	assert.Equal(t, len(busy.ExecutedRequests()), 0)
 	assert.Equal(t, len(free.ExecutedRequests()), 31)
 }
+
+// Guards against a router that does not know the other routers yet and uses up an endpoint's
+// limit alone.
+func TestLimitIsNotUsedBeforeTheRoutersAreKnown(t *testing.T) {
+	c := newCluster(t)
+	limited := c.startEndpoint(appEndpoint("limited"))
+	limited.SetResponseHeader("Server-Limit", "50")
+	router := c.loadRouter()
+	router.storeProxy.PauseKind(directory.KindRouters)
+	t.Cleanup(router.storeProxy.ResumeRequests)
+	assert.NilError(t, router.kernel.Start(context.Background()))
+	c.eventually("the endpoint is known", func() bool {
+		return router.send("first", http.MethodPost, "/post/x", "entry").status == http.StatusOK
+	})
+	for i := range 20 {
+		assert.Equal(t, router.send(fmt.Sprintf("early-%d", i), http.MethodPost, "/post/x", "entry").status, http.StatusServiceUnavailable)
+		time.Sleep(10 * time.Millisecond) // Several requests at the stated rate.
+	}
+	router.storeProxy.ResumeRequests()
+	c.eventually("the limit is used", func() bool {
+		return router.send("late", http.MethodPost, "/post/x", "entry").status == http.StatusOK
+	})
+}
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -82,8 +82,8 @@
 	selector     *selection.Selector
 	crashReports *strikes.Table
 	suspects     *poison.Table
-	// routerNames are the names of the other routers that suspects knows. It is nil before
-	// the first view.
+	// routerNames are the names of the other routers that suspects and the selector know. It
+	// is nil until the registered routers are known.
 	routerNames map[string]bool
 	// retryBudgets and loggedBudgets are keyed by service.
 	retryBudgets  map[string]*budget.RetryBudget
@@ -207,7 +207,7 @@
 	names := r.directory.OtherRouterNamesLocked()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.routerNames == nil || !maps.Equal(names, r.routerNames) {
+	if r.directory.RoutersKnownLocked() && (r.routerNames == nil || !maps.Equal(names, r.routerNames)) {
 		r.routerNames = names
 		others := slices.Collect(maps.Keys(names))
 		r.suspects.SetRouters(r.now(), r.routerID, others)
