Hold a request while another endpoint than the limited ones may become free

Found by reading: as soon as one endpoint was limited or paused, a request for which nothing was free was refused at once with endpoint_limits, also if another endpoint was only full or in its short backoff, for which requests wait up to an eighth of their objective.

ThrottledFor is now set only if all endpoints, but those that were tried before, are limited or paused. TestOneLimitedEndpointDoesNotHideABusyOne: 1 s before, 0 now. Nothing changes as long as no endpoint states a limit or asks for a pause.

--- a/decision/catchup/catchup.go
+++ b/decision/catchup/catchup.go
@@ -1,7 +1,7 @@
 // Package catchup decides when a router reads the events that it missed, because it has
-// just started or did not reach their sources. Reading them takes processor time from callers' requests, and a small router
-// follows as many sources as a large one. The package is a pure state machine and not
-// safe for concurrent use.
+// just started or did not reach their sources. Reading them takes processor time from
+// callers' requests, and a small router follows as many sources as a large one. The package
+// is a pure state machine and not safe for concurrent use.
 package catchup
 
 import "time"
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -108,10 +108,10 @@
 	// without missing parts are not saved: a save also stores the prompt's last part,
 	// which evicts parts that other prompts use.
 	SaveTo string
-	// ThrottledFor is how long no endpoint may be selected because of what endpoints
-	// stated, although some could run the request otherwise, and ThrottledRate the rate at
-	// which this router may send requests to them then, in requests a second. Both are 0
-	// if an endpoint was selected.
+	// ThrottledFor is how long no endpoint may be selected because of what all of them
+	// stated, and ThrottledRate the rate at which this router may send requests to them
+	// then, in requests a second. Endpoints of earlier attempts count only for their own
+	// statements. Both are 0 if an endpoint was selected or may become free before.
 	ThrottledFor  time.Duration
 	ThrottledRate float64
 	// WeightsExpired means that no endpoint was selected although some could run the
@@ -194,7 +194,9 @@
 		}
 	}
 	if d.bestIndex < 0 {
-		return Choice{WeightsExpired: d.weightsExpiredSeen, ThrottledFor: d.throttledFor, ThrottledRate: d.throttledRate()}, false
+		choice := Choice{WeightsExpired: d.weightsExpiredSeen}
+		choice.ThrottledFor, choice.ThrottledRate = d.allThrottled()
+		return choice, false
 	}
 	choice := d.result()
 	if r.Prompt != nil && s.kvCacheStore != "" && choice.CachedTokens < d.sharedTokens && s.storeCoverage(choice.WeightsVersion).tokens < d.sharedTokens {
@@ -223,8 +225,6 @@
 	bestCost  time.Duration
 	// weightsExpiredSeen is true if a candidate was left out only for its weights.
 	weightsExpiredSeen bool
-	// throttledFor is as in Choice.
-	throttledFor time.Duration
 }
 
 // findHolders finds the endpoints that hold parts of the prompt.
@@ -338,27 +338,23 @@
 
 // throttled reports whether the candidate's limit allows no request now.
 func (d *decision) throttled(c *candidate) bool {
-	wait := d.throttle.ReadyIn(d.now, c.endpoint.ID)
-	if wait == 0 {
-		return false
-	}
-	if d.throttledFor == 0 || wait < d.throttledFor {
-		d.throttledFor = wait
-	}
-	return true
+	return d.throttle.ReadyIn(d.now, c.endpoint.ID) > 0
 }
 
-// throttledRate returns the rate at which this router may send requests to the candidates
-// with limits, in requests a second.
-func (d *decision) throttledRate() float64 {
-	if d.throttledFor == 0 {
-		return 0
-	}
-	rate := 0.0
+// allThrottled returns ThrottledFor and ThrottledRate of Choice.
+func (d *decision) allThrottled() (readyIn time.Duration, rate float64) {
 	for i := range d.pool.candidates {
-		rate += d.throttle.Rate(d.now, d.pool.candidates[i].endpoint.ID)
+		id := d.pool.candidates[i].endpoint.ID
+		wait := d.throttle.ReadyIn(d.now, id)
+		switch {
+		case wait > 0 && (readyIn == 0 || wait < readyIn):
+			readyIn = wait
+		case wait == 0 && !slices.Contains(d.request.Exclude, id):
+			return 0, 0
+		}
+		rate += d.throttle.Rate(d.now, id)
 	}
-	return rate
+	return readyIn, rate
 }
 
 // MustWithdraw reports whether a request that was sent to an endpoint with the given
--- a/decision/selection/throttle_test.go
+++ b/decision/selection/throttle_test.go
@@ -43,3 +43,20 @@
 	assert.Equal(t, c.ThrottledFor, 250*time.Millisecond)
 	assert.Equal(t, c.ThrottledRate, 5.0)
 }
+
+// Guards against refusing a request at once, as if all endpoints were limited, while another
+// endpoint is only full for a moment.
+func TestOneLimitedEndpointDoesNotHideABusyOne(t *testing.T) {
+	v, s := newView(2, 1), New(testConfig(), "a")
+	s.Throttle().SetRouters("a", nil)
+	s.Throttle().ObserveResponse(0, 0, "e0", 1)
+	s.ReplaceRemoteLoads(nil, []EndpointLoad{{EndpointID: "e1", Running: 1000}})
+	r := newRequest(1, 2)
+	c, ok := s.Select(0, wall, v, r)
+	assert.Assert(t, !ok)
+	assert.Equal(t, c.ThrottledFor, time.Duration(0))
+	r.Exclude = []string{"e1"}
+	c, ok = s.Select(0, wall, v, r)
+	assert.Assert(t, !ok)
+	assert.Equal(t, c.ThrottledFor, time.Second)
+}
