Log and export the era of the platform's store

The lines of a restore and of a dropped history were the same: nothing showed that the store came back from a copy. The era of each response is decoded, exported as arbutus_store_era, and a rise is logged. Nothing else reads it yet.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -89,6 +89,7 @@
 	// Dependencies.
 	"store unreachable":                   {"kind", "error"},
 	"store reachable again":               {"kind"},
+	"store came back from a copy":         {"era", "before"},
 	"router added":                        {"address"},
 	"router unreachable":                  {"address", "error"},
 	"router reachable again":              {"address"},
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -105,6 +105,10 @@
 	othersReachStore atomic.Bool
 	// routerCount is the number of registered routers, or 0 before the first list.
 	routerCount atomic.Int64
+	// storeEra is the highest era of the store that this router knows. It is meaningless
+	// until eraKnown is true.
+	storeEra uint64
+	eraKnown bool
 	// storeReachableSince is when the last outage of the store ended.
 	storeReachableSince time.Time
 	subscribers         []func(*fleet.View)
@@ -115,6 +119,7 @@
 	storeCalls       *prometheus.CounterVec
 	storeCallSeconds *prometheus.HistogramVec
 	replicaChanges   *prometheus.CounterVec
+	storeEraGauge    prometheus.Gauge
 }
 
 // retainedEndpoint is an endpoint that stays in use although the store removed its
@@ -154,6 +159,7 @@
 	d.view.Store(&fleet.View{})
 	d.store = platform.NewStoreClient(d.Store)
 	d.store.OnCall = d.observeStoreCall
+	d.store.OnEra = d.observeEra
 	d.store.OnInvalidEntry = func(kind string) {
 		d.log.WithField("kind", kind).Warn("ignored store entry that is not a valid object")
 	}
@@ -173,7 +179,10 @@
 	d.replicaChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "arbutus_directory_changes_total", Help: "Changes taken by kind and source.",
 	}, []string{"kind", "source"})
-	a.Registry().MustRegister(d.storeCalls, d.storeCallSeconds, d.replicaChanges)
+	d.storeEraGauge = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "arbutus_store_era", Help: "Era of the platform's store, which rises when the store comes back from a copy.",
+	})
+	a.Registry().MustRegister(d.storeCalls, d.storeCallSeconds, d.replicaChanges, d.storeEraGauge)
 }
 
 // Validate checks that the required settings are present.
@@ -392,6 +401,20 @@
 	}
 }
 
+// observeEra records the era of a response of the store.
+func (d *Directory) observeEra(era uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.eraKnown && era <= d.storeEra {
+		return
+	}
+	if d.eraKnown {
+		d.log.WithFields(logrus.Fields{"era": era, "before": d.storeEra}).Warn("store came back from a copy")
+	}
+	d.storeEra, d.eraKnown = era, true
+	d.storeEraGauge.Set(float64(era))
+}
+
 func (d *Directory) observeStoreCall(operation string, took time.Duration, err error) {
 	d.storeCalls.WithLabelValues(operation, storeCallResult(err)).Inc()
 	if operation != "watch" {
