Show that configurations after a restore of the store are not applied

The stand-in of the store takes copies and comes back from them: revisions go back and are given out again, watches are cut, the era rises, and Rewrite repeats what operators and endpoints wrote.

--- /dev/null
+++ b/cmd/arbutus-front/restored_test.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutusline/arbutusline/platform"
+)
+
+// serves reports whether the router serves the route that only one configuration has.
+func (r *testRouter) serves(version int) bool {
+	return r.send("probe", http.MethodGet, fmt.Sprintf("/cfg/%d/x", version), "").status == http.StatusOK
+}
+
+// Guards against routers that compare revisions across a restore of the store: they list the
+// objects again without pause, and never apply configurations that were written at revisions
+// given out again.
+func TestConfigurationWrittenAfterARestoreIsApplied(t *testing.T) {
+	c := newCluster(t)
+	c.startEndpoint(appEndpoint("a1"))
+	routers := []*testRouter{c.startRouter(), c.startRouter()}
+	copied := c.store.Copy()
+	for version := 2; version <= 20; version++ {
+		c.putConfiguration(version, nil)
+	}
+	for _, r := range routers {
+		c.eventually("the configuration before the restore is applied", func() bool { return r.serves(20) })
+	}
+	lists := c.store.RequestCount(http.MethodGet, platform.KindConfiguration)
+	c.store.Restore(copied)
+	c.putConfiguration(21, nil)
+	for _, r := range routers {
+		c.eventually("the configuration after the restore is applied", func() bool { return r.serves(21) })
+	}
+	lists = c.store.RequestCount(http.MethodGet, platform.KindConfiguration) - lists
+	assert.Assert(t, lists < 20, "%d requests for the configuration within seconds of a restore", lists)
+}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -4,8 +4,10 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -54,6 +56,72 @@
 	// response.
 	responsesToLose int
 	requestCounts   map[string]int
+	// restores counts the calls of Restore. It is the store's era.
+	restores uint64
+	// external has the last state that operators and endpoints gave each object, by kind
+	// and name. The state of a removed object has no spec.
+	external map[string]map[string]Object
+}
+
+// StoreCopy is the state of a Store at some moment.
+type StoreCopy struct {
+	revision uint64
+	objects  map[string]map[string]Object
+	events   []changeEvent
+}
+
+// Copy returns the current state of the store.
+func (s *Store) Copy() *StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &StoreCopy{revision: s.revision, objects: map[string]map[string]Object{}, events: slices.Clone(s.events)}
+	for kind, objects := range s.objects {
+		c.objects[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// Restore replaces the state of the store by a copy. All changes after the copy are lost,
+// revisions go back, the era rises and pending watches are cut.
+func (s *Store) Restore(c *StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.initialize()
+	s.revision, s.objects, s.events = c.revision, map[string]map[string]Object{}, slices.Clone(c.events)
+	for kind, objects := range c.objects {
+		s.objects[kind] = maps.Clone(objects)
+	}
+	s.compactedRevision = min(s.compactedRevision, s.revision)
+	s.restores++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Rewrite lets operators and endpoints write again what a copy of the store lacks.
+func (s *Store) Rewrite() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for kind, objects := range s.external {
+		for name, o := range objects {
+			stored, exists := s.objects[kind][name]
+			switch {
+			case o.Spec == nil:
+				s.remove(kind, name)
+			case !exists || !bytes.Equal(stored.Spec, o.Spec):
+				s.put(kind, o)
+			}
+		}
+	}
+}
+
+func (s *Store) recordExternal(kind string, o Object) {
+	if s.external == nil {
+		s.external = map[string]map[string]Object{}
+	}
+	if s.external[kind] == nil {
+		s.external[kind] = map[string]Object{}
+	}
+	s.external[kind][o.Metadata.Name] = o
 }
 
 // Put creates or replaces an object, as an operator or endpoint would.
@@ -64,13 +132,16 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.put(kind, Object{Metadata: Metadata{Name: name}, Spec: specJSON})
+	o := Object{Metadata: Metadata{Name: name}, Spec: specJSON}
+	s.recordExternal(kind, o)
+	s.put(kind, o)
 }
 
 // Remove deletes an object.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordExternal(kind, Object{Metadata: Metadata{Name: name}})
 	s.remove(kind, name)
 }
 
@@ -149,13 +220,18 @@
 	s.changed = make(chan struct{})
 }
 
+// firstEra is the era of a store that never came back from a copy.
+const firstEra = 1
+
 // ServeHTTP serves the store's API below /objects/.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	pathSegments := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	s.mu.Lock()
 	s.initialize()
 	s.requestCounts[r.Method+" "+pathSegments[0]]++
+	era := s.restores + firstEra
 	s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 	switch {
 	case r.Method == http.MethodGet && len(pathSegments) == 1 && r.URL.Query().Get("watch") != "":
 		s.watch(w, r, pathSegments[0])
@@ -203,10 +279,18 @@
 	}
 	deadline := time.NewTimer(time.Duration(ms) * time.Millisecond)
 	defer deadline.Stop()
+	s.mu.Lock()
+	restores := s.restores
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		events, revision, compacted, changed := s.eventsSince(kind, since), s.revision, since < s.compactedRevision, s.changed
+		events, revision, changed := s.eventsSince(kind, since), s.revision, s.changed
+		compacted := since < s.compactedRevision || since > s.revision
+		restored := s.restores != restores
 		s.mu.Unlock()
+		if restored {
+			panic(http.ErrAbortHandler)
+		}
 		if compacted {
 			w.WriteHeader(http.StatusGone)
 			return
