Tell copies of removals that the telling router never saw

A router that starts lists the objects, and tells other routers what changed since their revisions. Of an object that was created and removed before its list it knows nothing, and a removal that it finds in a list it dated by the last change that it had seen. A router that took its position from such a message kept the removed object for good: a dead endpoint, or one that had left.

Copies now exchange deltas with a position. A delta to a copy that is older than the sender's last list is complete: it names the objects that did not change, and all others are removed as of the list. Positions carry an era of the store besides the revision, which is 0 until the next change; copies of different eras are never compared.

--- a/decision/replica/replica_test.go
+++ b/decision/replica/replica_test.go
@@ -6,8 +6,13 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/arbutusline/arbutusline/fleet"
 )
 
+// at returns a position of the only era.
+func at(revision uint64) fleet.StorePosition { return fleet.StorePosition{Revision: revision} }
+
 // Guards against copies that differ after updates in different orders, because one of
 // them restores a removed object or loses an object that was created again.
 func TestCopiesConvergeInAnyOrder(t *testing.T) {
@@ -27,14 +32,14 @@
 			}
 			c := copies[rng.IntN(2)]
 			if rng.IntN(3) == 0 {
-				c.ApplyChanges(history[c.Revision():], revision)
+				c.ApplyChanges(history[c.Position().Revision:], at(revision))
 			}
 			from, to := copies[rng.IntN(3)], copies[rng.IntN(3)]
-			to.ApplyChanges(from.ChangedSince(to.Revision()), from.Revision())
+			to.ApplyDelta(from.ChangedSince(to.Position()))
 		}
-		copies[0].ApplyChanges(history[copies[0].Revision():], 60)
+		copies[0].ApplyChanges(history[copies[0].Position().Revision:], at(60))
 		for _, c := range copies {
-			c.ApplyChanges(copies[0].ChangedSince(c.Revision()), copies[0].Revision())
+			c.ApplyDelta(copies[0].ChangedSince(c.Position()))
 			got := map[string]uint64{}
 			for _, e := range c.LiveEntries() {
 				got[e.Name] = e.Revision
@@ -48,9 +53,34 @@
 // although the complete list doesn't have them.
 func TestApplyListRemovesMissingObjects(t *testing.T) {
 	r := New()
-	r.ApplyList([]Entry{{Name: "a", Revision: 3}, {Name: "b", Revision: 4}}, 5)
-	assert.Assert(t, r.ApplyList([]Entry{{Name: "b", Revision: 4}}, 9))
+	r.ApplyList([]Entry{{Name: "a", Revision: 3}, {Name: "b", Revision: 4}}, at(5))
+	assert.Assert(t, r.ApplyList([]Entry{{Name: "b", Revision: 4}}, at(9)))
 	assert.Equal(t, len(r.LiveEntries()), 1)
-	assert.Assert(t, !r.ApplyChanges([]Entry{{Name: "a", Revision: 3}}, 9), "an old state must not restore a removed object")
-	assert.Assert(t, r.ApplyChanges([]Entry{{Name: "a", Revision: 11}}, 11))
+	assert.Assert(t, !r.ApplyChanges([]Entry{{Name: "a", Revision: 3}}, at(9)), "an old state must not restore a removed object")
+	assert.Assert(t, r.ApplyChanges([]Entry{{Name: "a", Revision: 11}}, at(11)))
+}
+
+// Guards against a removed object that stays in a copy which had seen a later change of it
+// than the copy that found the removal in a list.
+func TestListedRemovalIsNewerThanUnseenChanges(t *testing.T) {
+	lister, other := New(), New()
+	lister.ApplyList([]Entry{{Name: "a", Revision: 3}}, at(4))
+	other.ApplyList([]Entry{{Name: "a", Revision: 6}}, at(7))
+	lister.ApplyList(nil, at(9))
+	other.ApplyDelta(lister.ChangedSince(other.Position()))
+	assert.Equal(t, len(other.LiveEntries()), 0)
+}
+
+// Guards against a removed object that stays in a copy because the copy that it learns from
+// has never seen the object, as that of a process that has just started.
+func TestRemovalOfAnObjectThatTheOtherCopyNeverHad(t *testing.T) {
+	started, other := New(), New()
+	other.ApplyList([]Entry{{Name: "a", Revision: 6}, {Name: "b", Revision: 2}}, at(7))
+	started.ApplyList([]Entry{{Name: "b", Revision: 2}}, at(9))
+	delta := started.ChangedSince(other.Position())
+	other.ApplyDelta(delta)
+	assert.Equal(t, other.Position(), at(9))
+	assert.Equal(t, len(other.LiveEntries()), 1)
+	other.ApplyDelta(started.ChangedSince(other.Position()))
+	assert.Equal(t, len(other.LiveEntries()), 1)
 }
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -149,6 +149,21 @@
 	WeightsVersions map[string]uint64
 }
 
+// StorePosition is a point in the history of the platform's store. Positions of the same
+// era are ordered by revision.
+type StorePosition struct {
+	// Era rises each time that the store comes back from a copy. The copy may lack
+	// acknowledged writes, and the store then gives out their revisions again.
+	Era uint64
+	// Revision is the store's revision within the era.
+	Revision uint64
+}
+
+// Before reports whether p is an earlier position than o.
+func (p StorePosition) Before(o StorePosition) bool {
+	return p.Era < o.Era || p.Era == o.Era && p.Revision < o.Revision
+}
+
 // View is a consistent, immutable snapshot of the deployment.
 type View struct {
 	// Config is nil until the router has received a configuration.
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -294,7 +294,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.replicas[kind].ApplyList(entries, revision) {
+	if d.replicas[kind].ApplyList(entries, fleet.StorePosition{Revision: revision}) {
 		d.handleReplicaChangeLocked(kind, "list")
 	}
 	d.versionsLoaded = d.versionsLoaded || kind == platform.KindPublishedWeightsVersions
@@ -307,7 +307,7 @@
 	for ctx.Err() == nil {
 		d.mu.Lock()
 		isWatcher := d.watchRank < d.Watchers
-		if replicaRevision := d.replicas[kind].Revision(); replicaRevision > revision {
+		if replicaRevision := d.replicas[kind].Position().Revision; replicaRevision > revision {
 			revision = replicaRevision
 		}
 		d.mu.Unlock()
@@ -364,7 +364,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.replicas[kind].ApplyChanges(entries, revision) {
+	if d.replicas[kind].ApplyChanges(entries, fleet.StorePosition{Revision: revision}) {
 		d.handleReplicaChangeLocked(kind, "watch")
 	}
 	return revision, nil
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -40,8 +40,8 @@
 func (d *Directory) handleReplicaChangeLocked(kind, source string) {
 	d.replicaChanges.WithLabelValues(kind, source).Inc()
 	r := d.replicas[kind]
-	if r.Revision() > tombstoneRevisions {
-		r.DropTombstones(r.Revision() - tombstoneRevisions)
+	if revision := r.Position().Revision; revision > tombstoneRevisions {
+		r.DropTombstones(revision - tombstoneRevisions)
 	}
 	switch kind {
 	case platform.KindConfiguration:
@@ -296,42 +296,40 @@
 	d.publishViewLocked()
 }
 
-// ReplicaRevision is the store revision up to which the replica of a kind is complete.
-type ReplicaRevision struct {
+// ReplicaPosition is the position up to which the replica of a kind is complete.
+type ReplicaPosition struct {
 	Kind     string
-	Revision uint64
+	Position fleet.StorePosition
 }
 
-// ReplicaRevisions returns the revision of each replica.
-func (d *Directory) ReplicaRevisions() []ReplicaRevision {
+// ReplicaPositions returns the position of each replica.
+func (d *Directory) ReplicaPositions() []ReplicaPosition {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make([]ReplicaRevision, 0, len(replicatedKinds))
+	out := make([]ReplicaPosition, 0, len(replicatedKinds))
 	for _, kind := range replicatedKinds {
-		out = append(out, ReplicaRevision{kind, d.replicas[kind].Revision()})
+		out = append(out, ReplicaPosition{kind, d.replicas[kind].Position()})
 	}
 	return out
 }
 
-// ChangedSince returns the entries of a kind that may be missing from a replica that is
-// complete up to a revision, and the revision of this router's replica. It returns
-// revision 0 if this router has nothing newer.
-func (d *Directory) ChangedSince(kind string, revision uint64) ([]replica.Entry, uint64) {
+// ChangedSince returns what a replica of a kind that is complete up to a position may
+// lack. It returns false if this router's replica is not newer.
+func (d *Directory) ChangedSince(kind string, since fleet.StorePosition) (replica.Delta, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.replicas[kind]
-	if r == nil || r.Revision() <= revision {
-		return nil, 0
+	if r == nil || !since.Before(r.Position()) {
+		return replica.Delta{}, false
 	}
-	return r.ChangedSince(revision), r.Revision()
+	return r.ChangedSince(since), true
 }
 
-// MergeEntries merges entries from another router's replica, which is complete up to
-// the revision.
-func (d *Directory) MergeEntries(kind string, entries []replica.Entry, revision uint64) {
+// MergeDelta merges what another router's replica has to tell.
+func (d *Directory) MergeDelta(kind string, delta replica.Delta) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if r := d.replicas[kind]; r != nil && r.ApplyChanges(entries, revision) {
+	if r := d.replicas[kind]; r != nil && r.ApplyDelta(delta) {
 		d.handleReplicaChangeLocked(kind, "router")
 	}
 	d.versionsLoaded = d.versionsLoaded || kind == platform.KindPublishedWeightsVersions
@@ -352,7 +350,7 @@
 // RoutersKnownLocked reports whether the registered routers are known. Before that, a router
 // seems to be the only one. The caller holds mu, so only functions passed to Subscribe may
 // call it.
-func (d *Directory) RoutersKnownLocked() bool { return d.replicas[KindRouters].Revision() > 0 }
+func (d *Directory) RoutersKnownLocked() bool { return d.replicas[KindRouters].Position().Revision > 0 }
 
 // ZonePositionLocked returns this router's position, by name, among the registered
 // routers of its availability zone, and their number. The caller holds mu, so only
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -363,12 +363,12 @@
 
 // beginPulls returns the positions of the replicas for which the next call asks, and a
 // function to call after the changes have been applied.
-func (x *Exchange) beginPulls() ([]directory.ReplicaRevision, func()) {
+func (x *Exchange) beginPulls() ([]directory.ReplicaPosition, func()) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := time.Since(x.startTime)
-	var pulled []directory.ReplicaRevision
-	for _, r := range x.directory.ReplicaRevisions() {
+	var pulled []directory.ReplicaPosition
+	for _, r := range x.directory.ReplicaPositions() {
 		if x.pulls.Begin(now, r.Kind) {
 			pulled = append(pulled, r)
 		}
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -10,6 +10,7 @@
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/decision/strikes"
 	"github.com/arbutusline/arbutusline/decision/throttle"
+	"github.com/arbutusline/arbutusline/fleet"
 	"github.com/arbutusline/arbutusline/modules/directory"
 )
 
@@ -19,15 +20,15 @@
 	x.addPeerLocked(in.GetAddress())
 	x.mu.Unlock()
 	x.applyState(in)
-	return x.buildState(in, x.directory.ReplicaRevisions()), nil
+	return x.buildState(in, x.directory.ReplicaPositions()), nil
 }
 
 // buildState returns the state to send to another router, with the positions of the given
 // replicas. In a response, in is the state that the caller sent; in a call it is nil.
-func (x *Exchange) buildState(in *arbutuspb.RouterState, positions []directory.ReplicaRevision) *arbutuspb.RouterState {
+func (x *Exchange) buildState(in *arbutuspb.RouterState, positions []directory.ReplicaPosition) *arbutuspb.RouterState {
 	out := &arbutuspb.RouterState{Name: x.node.ID, Address: x.ownAddress, StoreLost: x.directory.StoreUnreachable()}
 	for _, p := range positions {
-		out.Positions = append(out.Positions, &arbutuspb.CopyPosition{Kind: p.Kind, Revision: p.Revision})
+		out.Positions = append(out.Positions, &arbutuspb.CopyPosition{Kind: p.Kind, Era: p.Position.Era, Revision: p.Position.Revision})
 	}
 	for _, l := range x.relay.Loads() {
 		out.Loads = append(out.Loads, &arbutuspb.EndpointLoad{
@@ -91,16 +92,18 @@
 }
 
 // replicaDeltas returns the objects that may be missing from the replicas of a router
-// with these revisions.
+// at these positions.
 func (x *Exchange) replicaDeltas(positions []*arbutuspb.CopyPosition) []*arbutuspb.CopyDelta {
 	var out []*arbutuspb.CopyDelta
 	for _, p := range positions {
-		entries, revision := x.directory.ChangedSince(p.GetKind(), p.GetRevision())
-		if revision == 0 {
+		delta, newer := x.directory.ChangedSince(p.GetKind(), fleet.StorePosition{Era: p.GetEra(), Revision: p.GetRevision()})
+		if !newer {
 			continue
 		}
-		d := &arbutuspb.CopyDelta{Kind: p.GetKind(), Revision: revision}
-		for _, e := range entries {
+		d := &arbutuspb.CopyDelta{
+			Kind: p.GetKind(), Era: delta.At.Era, Revision: delta.At.Revision, Complete: delta.Complete, Unchanged: delta.Unchanged,
+		}
+		for _, e := range delta.Entries {
 			d.Entries = append(d.Entries, &arbutuspb.CopyEntry{
 				Name: e.Name, Revision: e.Revision, Seen: e.SeenRevision, Spec: e.Spec, Removed: e.Removed,
 			})
@@ -147,13 +150,15 @@
 		x.applyWeightsChange(c)
 	}
 	for _, d := range in.GetCopies() {
-		entries := make([]replica.Entry, 0, len(d.GetEntries()))
+		delta := replica.Delta{
+			At: fleet.StorePosition{Era: d.GetEra(), Revision: d.GetRevision()}, Complete: d.GetComplete(), Unchanged: d.GetUnchanged(),
+		}
 		for _, e := range d.GetEntries() {
-			entries = append(entries, replica.Entry{
+			delta.Entries = append(delta.Entries, replica.Entry{
 				Name: e.GetName(), Revision: e.GetRevision(), SeenRevision: e.GetSeen(), Spec: e.GetSpec(), Removed: e.GetRemoved(),
 			})
 		}
-		x.directory.MergeEntries(d.GetKind(), entries, d.GetRevision())
+		x.directory.MergeDelta(d.GetKind(), delta)
 	}
 }
 
