Compare the store's revisions only within an era

Replicas keep the higher revision, so that lists and changes counted as old; the next watch asked for a revision that the store did not have, got 410, and the objects were listed again without pause, over 100 times a second in each router.

Positions now have the era of the store. A list of a later era replaces a replica, also in routers that learn of it from others; pending watches are ended. Objects that the copy lacks stay in use for the 2.3 s in which they may be written again. A list that follows a list without a watch between them waits.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -95,7 +95,7 @@
 	"router reachable again":              {"address"},
 	"router registered":                   {},
 	"failed to register router; retrying": {"error"},
-	"store compacted the requested changes; listing objects again": {"kind"},
+	"store lacks the requested changes; listing objects again": {"kind", "era", "revision", "error"},
 	"configuration applied":                          {"version", "source", "revision"},
 	"ignored invalid configuration":                  {"source", "revision", "error"},
 	"ignored store object with invalid content":      {"revision", "error"},
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -41,8 +41,8 @@
 	batchDelay = 150 * time.Millisecond
 	// watchStagger is the time between the timeouts of two routers' watches.
 	watchStagger = time.Second
-	// removedEndpointGrace is how long after a store outage endpoints stay in use
-	// although the store has removed their objects. Live endpoints write them again
+	// removedEndpointGrace is how long after an outage or a restore of the store objects
+	// stay in use that the store has removed or lost. Live endpoints write them again
 	// within about 2 s.
 	removedEndpointGrace = 2300 * time.Millisecond
 	// maxPublishedWeightsVersions is the number of weights versions kept for each model.
@@ -109,6 +109,11 @@
 	// until eraKnown is true.
 	storeEra uint64
 	eraKnown bool
+	// unconfirmedUntil is when the objects that a restored copy of the store lacks are
+	// dropped, by kind.
+	unconfirmedUntil map[string]time.Time
+	// watchCancels end the pending watches, by kind.
+	watchCancels map[string]context.CancelCauseFunc
 	// storeReachableSince is when the last outage of the store ended.
 	storeReachableSince time.Time
 	subscribers         []func(*fleet.View)
@@ -154,6 +159,7 @@
 		d.replicas[kind] = replica.New()
 	}
 	d.publishedWeightsVersions, d.observedWeightsVersions = map[string][]fleet.PublishedWeightsVersion{}, map[string]map[string]uint64{}
+	d.unconfirmedUntil, d.watchCancels = map[string]time.Time{}, map[string]context.CancelCauseFunc{}
 	d.leavingEndpoints = map[string]leavingEndpoint{}
 	d.retainedEndpoints, d.decodedEndpoints, d.loggedInvalidRevisions = map[string]retainedEndpoint{}, map[string]decodedEndpoint{}, map[string]uint64{}
 	d.view.Store(&fleet.View{})
@@ -225,7 +231,7 @@
 		d.goroutines.Go(func() { d.syncKind(ctx, kind) })
 	}
 	d.goroutines.Go(func() { d.registerRouter(ctx) })
-	d.goroutines.Go(func() { d.expireRetainedEndpoints(ctx) })
+	d.goroutines.Go(func() { d.expireRetained(ctx) })
 	return nil
 }
 
@@ -260,32 +266,38 @@
 func (d *Directory) syncKind(ctx context.Context, kind string) {
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		revision, err := d.listObjects(ctx, kind)
-		afterChange := true
+		position, err := d.listObjects(ctx, kind)
+		watched, afterChange := false, true
 		for err == nil && ctx.Err() == nil {
-			delay = minRetryDelay
-			revision = d.waitUntilWatcher(ctx, kind, revision)
-			since := revision
-			revision, err = d.watchObjects(ctx, kind, revision, d.watchTimeout(kind, afterChange))
-			afterChange = revision != since
+			position = d.waitUntilWatcher(ctx, kind, position)
+			since := position
+			position, err = d.watchObjects(ctx, kind, position, d.watchTimeout(kind, afterChange))
+			afterChange = position != since
+			watched = watched || err == nil
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, platform.ErrCompacted) {
-			d.log.WithField("kind", kind).Info("store compacted the requested changes; listing objects again")
-			continue
+		if watched {
+			delay = minRetryDelay
+		}
+		if errors.IsAny(err, platform.ErrCompacted, platform.ErrEraChanged) {
+			d.log.WithError(err).WithFields(logrus.Fields{"kind": kind, "era": position.Era, "revision": position.Revision}).Info("store lacks the requested changes; listing objects again")
+			if watched {
+				continue
+			}
+		} else {
+			d.markStoreUnreachable(kind, err)
 		}
-		d.markStoreUnreachable(kind, err)
 		wait.ForJittered(ctx, delay)
 		delay = min(2*delay, maxRetryDelay)
 	}
 }
 
-func (d *Directory) listObjects(ctx context.Context, kind string) (uint64, error) {
-	objects, revision, err := d.store.List(ctx, kind)
+func (d *Directory) listObjects(ctx context.Context, kind string) (fleet.StorePosition, error) {
+	objects, position, err := d.store.List(ctx, kind)
 	if err != nil {
-		return 0, err
+		return fleet.StorePosition{}, err
 	}
 	d.markStoreReachable(kind)
 	entries := make([]replica.Entry, 0, len(objects))
@@ -294,21 +306,19 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.replicas[kind].ApplyList(entries, fleet.StorePosition{Revision: revision}) {
-		d.handleReplicaChangeLocked(kind, "list")
-	}
+	d.applyLocked(kind, "list", replica.Delta{At: position, Entries: entries, Complete: true})
 	d.versionsLoaded = d.versionsLoaded || kind == platform.KindPublishedWeightsVersions
-	return revision, nil
+	return position, nil
 }
 
 // waitUntilWatcher waits while enough other routers watch the store. It then returns
-// the revision up to which this router's replica is complete.
-func (d *Directory) waitUntilWatcher(ctx context.Context, kind string, revision uint64) uint64 {
+// the position up to which this router's replica is complete.
+func (d *Directory) waitUntilWatcher(ctx context.Context, kind string, position fleet.StorePosition) fleet.StorePosition {
 	for ctx.Err() == nil {
 		d.mu.Lock()
 		isWatcher := d.watchRank < d.Watchers
-		if replicaRevision := d.replicas[kind].Position().Revision; replicaRevision > revision {
-			revision = replicaRevision
+		if p := d.replicas[kind].Position(); position.Before(p) {
+			position = p
 		}
 		d.mu.Unlock()
 		if isWatcher {
@@ -316,7 +326,7 @@
 		}
 		wait.ForJittered(ctx, watchStagger)
 	}
-	return revision
+	return position
 }
 
 // watchTimeout returns how long a watch waits for a change. A watch may miss a change
@@ -347,11 +357,21 @@
 	d.othersReachStore.Store(routers > 1)
 }
 
-func (d *Directory) watchObjects(ctx context.Context, kind string, since uint64, timeout time.Duration) (uint64, error) {
+// watchObjects waits for changes of a kind and merges them. It returns the position up to
+// which they are complete.
+func (d *Directory) watchObjects(ctx context.Context, kind string, since fleet.StorePosition, timeout time.Duration) (fleet.StorePosition, error) {
 	if kind == platform.KindEndpoints || kind == KindRouters {
 		wait.ForJittered(ctx, batchDelay)
 	}
-	changes, revision, err := d.store.Watch(ctx, kind, since, timeout)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if !d.beginWatch(kind, since, cancel) {
+		return since, platform.ErrEraChanged
+	}
+	changes, position, err := d.store.Watch(ctx, kind, since, timeout)
+	if errors.Is(context.Cause(ctx), platform.ErrEraChanged) {
+		return since, platform.ErrEraChanged
+	}
 	if err != nil {
 		return since, err
 	}
@@ -364,10 +384,8 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.replicas[kind].ApplyChanges(entries, fleet.StorePosition{Revision: revision}) {
-		d.handleReplicaChangeLocked(kind, "watch")
-	}
-	return revision, nil
+	d.applyLocked(kind, "watch", replica.Delta{At: position, Entries: entries})
+	return position, nil
 }
 
 func (d *Directory) markStoreUnreachable(kind string, err error) {
@@ -401,20 +419,6 @@
 	}
 }
 
-// observeEra records the era of a response of the store.
-func (d *Directory) observeEra(era uint64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.eraKnown && era <= d.storeEra {
-		return
-	}
-	if d.eraKnown {
-		d.log.WithFields(logrus.Fields{"era": era, "before": d.storeEra}).Warn("store came back from a copy")
-	}
-	d.storeEra, d.eraKnown = era, true
-	d.storeEraGauge.Set(float64(era))
-}
-
 func (d *Directory) observeStoreCall(operation string, took time.Duration, err error) {
 	d.storeCalls.WithLabelValues(operation, storeCallResult(err)).Inc()
 	if operation != "watch" {
@@ -436,6 +440,8 @@
 		return "not_found"
 	case errors.Is(err, platform.ErrCompacted):
 		return "compacted"
+	case errors.Is(err, platform.ErrEraChanged):
+		return "era_changed"
 	case errors.Is(err, platform.ErrAmbiguous):
 		return "no_answer"
 	}
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -238,12 +238,13 @@
 	return false
 }
 
-// expireRetainedEndpoints publishes a view periodically while endpoints are retained,
-// so that they are dropped when their grace period ends.
-func (d *Directory) expireRetainedEndpoints(ctx context.Context) {
+// expireRetained periodically drops endpoints and unconfirmed objects whose grace
+// period has ended.
+func (d *Directory) expireRetained(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.ForJittered(ctx, retainedCheckInterval)
 		d.mu.Lock()
+		d.dropUnconfirmedLocked(time.Now())
 		if len(d.retainedEndpoints) > 0 {
 			d.publishViewLocked()
 		}
@@ -329,8 +330,8 @@
 func (d *Directory) MergeDelta(kind string, delta replica.Delta) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if r := d.replicas[kind]; r != nil && r.ApplyDelta(delta) {
-		d.handleReplicaChangeLocked(kind, "router")
+	if d.replicas[kind] != nil {
+		d.applyLocked(kind, "router", delta)
 	}
 	d.versionsLoaded = d.versionsLoaded || kind == platform.KindPublishedWeightsVersions
 }
