Register routers again when the store lacks them

A router wrote its object once. After the store came back from a copy taken before that, the other routers did not know it for the rest of its life: no exchange with it unless it called, limits of endpoints and tests of prompt parts divided without it.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -93,7 +93,7 @@
 	"router added":                        {"address"},
 	"router unreachable":                  {"address", "error"},
 	"router reachable again":              {"address"},
-	"router registered":                   {},
+	"router registered":                   {"era"},
 	"failed to register router; retrying": {"error"},
 	"store lacks the requested changes; listing objects again": {"kind", "era", "revision", "error"},
 	"configuration applied":                          {"version", "source", "revision"},
--- a/cmd/arbutus-front/restored_test.go
+++ b/cmd/arbutus-front/restored_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/arbutusline/arbutusline/modules/directory"
 	"github.com/arbutusline/arbutusline/platform"
 )
 
@@ -38,3 +39,21 @@
 	lists = c.store.RequestCount(http.MethodGet, platform.KindConfiguration) - lists
 	assert.Assert(t, lists < 20, "%d requests for the configuration within seconds of a restore", lists)
 }
+
+// Guards against routers that stay unknown to the others after a restore of the store, as
+// they registered after the copy: they exchange nothing, and limits and tests of prompt parts
+// are divided without them.
+func TestRoutersRegisterAgainAfterARestore(t *testing.T) {
+	c := newCluster(t)
+	c.startEndpoint(appEndpoint("a1"))
+	c.startRouter()
+	copied := c.store.Copy()
+	c.startRouter()
+	c.startRouter()
+	c.eventually("all routers are registered", func() bool { return len(c.store.Names(directory.KindRouters)) == 3 })
+	writes := c.store.RequestCount(http.MethodPost, directory.KindRouters)
+	c.store.Restore(copied)
+	assert.Equal(t, len(c.store.Names(directory.KindRouters)), 1)
+	c.eventually("all routers are registered again", func() bool { return len(c.store.Names(directory.KindRouters)) == 3 })
+	assert.Equal(t, c.store.RequestCount(http.MethodPost, directory.KindRouters)-writes, 2, "a router registered again although the copy had it")
+}
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -117,6 +117,10 @@
 	// storeReachableSince is when the last outage of the store ended.
 	storeReachableSince time.Time
 	subscribers         []func(*fleet.View)
+	// registered is true once this router has written its object. registeredAt is the
+	// position of the last write.
+	registered   bool
+	registeredAt fleet.StorePosition
 	// watchRank is this router's rank among the reachableRouters, from 0.
 	watchRank        int
 	reachableRouters int
@@ -230,7 +234,7 @@
 	for _, kind := range replicatedKinds {
 		d.goroutines.Go(func() { d.syncKind(ctx, kind) })
 	}
-	d.goroutines.Go(func() { d.registerRouter(ctx) })
+	d.goroutines.Go(func() { d.maintainRegistration(ctx) })
 	d.goroutines.Go(func() { d.expireRetained(ctx) })
 	return nil
 }
@@ -244,24 +248,6 @@
 	return nil
 }
 
-// registerRouter writes the object with this router's address. The write is
-// unconditional because only this router writes its object.
-func (d *Directory) registerRouter(ctx context.Context) {
-	spec := RouterSpec{Address: d.Advertise, Zone: d.node.Zone, Incarnation: d.node.Incarnation()}
-	for delay := minRetryDelay; ctx.Err() == nil; delay = min(2*delay, maxRetryDelay) {
-		_, err := d.store.Create(ctx, KindRouters, d.node.ID, spec)
-		if errors.Is(err, platform.ErrConflict) {
-			_, err = d.store.Replace(ctx, KindRouters, d.node.ID, 0, spec)
-		}
-		if err == nil {
-			d.log.Info("router registered")
-			return
-		}
-		d.log.WithError(err).Warn("failed to register router; retrying")
-		wait.ForJittered(ctx, delay)
-	}
-}
-
 // syncKind keeps the replica of one kind up to date until ctx is done.
 func (d *Directory) syncKind(ctx context.Context, kind string) {
 	delay := minRetryDelay
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -28,13 +28,6 @@
 // grace period has ended.
 const retainedCheckInterval = 200 * time.Millisecond
 
-// RouterSpec is the content of a router's store object.
-type RouterSpec struct {
-	Address     string `json:"address"`
-	Zone        string `json:"zone"`
-	Incarnation uint64 `json:"incarnation"`
-}
-
 // handleReplicaChangeLocked rebuilds the view after the replica of a kind has changed.
 // The caller holds mu.
 func (d *Directory) handleReplicaChangeLocked(kind, source string) {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -169,6 +169,13 @@
 	s.suppressEvents = suppress
 }
 
+// Names returns the names of the objects of a kind, sorted.
+func (s *Store) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.objects[kind]))
+}
+
 // RequestCount returns the number of requests with an HTTP method for an object kind.
 func (s *Store) RequestCount(method, kind string) int {
 	s.mu.Lock()
