Elect no second holder of the order lease after a restore of the store

When the store comes back from a copy, the lease is that of an earlier holder, or there is none, while the last holder may still send orders for two seconds: another router could take over at once, with a fencing token that was used before. A write under a condition on a revision of the era before could also replace the record of a holder of this one, and count as success.

The lease is read again in a new era and counts as changed then, also when it is missing; only a router whose own lease has not expired writes it at once. Records carry their era: a router takes its own name in a record for a lease of its own only if the era is the current one, and the success of a write that was meant for another era means nothing. Tokens contain the era and the revision that they replace.

--- a/decision/lease/lease.go
+++ b/decision/lease/lease.go
@@ -4,9 +4,18 @@
 // lease expires by the holder's own clock. A successor takes the lease over once
 // the object has been unchanged for so long that the holder must have stopped and
 // the required pause between two holders has passed.
+//
+// The store may come back from a copy that lacks writes of the lease. A new era of the
+// store then begins, in which a record proves nothing unless it was written in it: the
+// holder that was lost may still send orders. Fencing tokens of a later era are higher
+// than all of earlier ones.
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/arbutusline/arbutusline/fleet"
+)
 
 // Config holds the router's name and the durations of the lease.
 type Config struct {
@@ -39,8 +48,16 @@
 	FencingToken uint64 `json:"fence"`
 	// WriteCount makes the content of each write differ from the one before.
 	WriteCount uint64 `json:"renewal"`
+	// Era is the era of the store in which the record was written, as far as its writer
+	// knew.
+	Era uint64 `json:"era"`
 }
 
+// tokensPerEra is the distance of the fencing tokens of two eras at the same revision. It
+// exceeds the number of revisions that a copy of the store may lack: several minutes at the
+// store's highest rate of writes.
+const tokensPerEra = 1 << 20
+
 // ActionKind is the kind of a store call.
 type ActionKind int
 
@@ -73,7 +90,12 @@
 
 	recordKnown bool
 	record      Record
-	revision    uint64
+	// position is that of the record's last change, with revision 0 if there is no record.
+	position fleet.StorePosition
+	// era is the latest era of the store.
+	era uint64
+	// highestToken is the highest fencing token of all records.
+	highestToken uint64
 	// unchangedSince is when this router first saw the current record.
 	unchangedSince time.Duration
 	// ownRecord means that this process wrote the current record.
@@ -122,6 +144,13 @@
 	return a
 }
 
+// ObserveEra records the era of the store. In a new era the record has to be read again.
+func (m *StateMachine) ObserveEra(era uint64) {
+	if era > m.era {
+		m.era, m.recordKnown, m.ownRecord = era, false, false
+	}
+}
+
 func (m *StateMachine) chooseAction(now time.Duration) Action {
 	if !m.recordKnown {
 		// Read the record at the start, even without pending orders, to learn how
@@ -140,12 +169,13 @@
 		}
 		return m.writeAction(m.record.FencingToken)
 	}
-	if m.record.Holder == "" || m.record.Holder == m.cfg.RouterName {
-		return m.writeAction(m.record.FencingToken + 1)
+	// Until its own lease expires, no other router has taken over in any era.
+	if now < m.validUntil || m.record.Holder == m.cfg.RouterName && m.record.Era == m.era {
+		return m.writeAction(m.nextToken())
 	}
 	expired := now-m.unchangedSince >= m.takeoverTimeout()
 	if expired && now-m.ordersPendingSince >= m.cfg.TakeoverDelay {
-		return m.writeAction(m.record.FencingToken + 1)
+		return m.writeAction(m.nextToken())
 	}
 	if !expired && now-m.lastCallAt >= m.cfg.PollInterval {
 		return Action{Kind: ReadRecord}
@@ -159,33 +189,55 @@
 	return m.cfg.ValidFor + m.cfg.HandoverPause + m.cfg.SafetyMargin
 }
 
+// nextToken returns the fencing token of a new holder. It exceeds the tokens of earlier eras
+// and those of all records that were written before in this one, whether this router has
+// seen them or not.
+func (m *StateMachine) nextToken() uint64 {
+	token := max(m.record.FencingToken, m.highestToken) + 1
+	if m.era > 0 {
+		token = max(token, m.era*tokensPerEra+m.position.Revision+1)
+	}
+	return token
+}
+
 func (m *StateMachine) writeAction(fencingToken uint64) Action {
-	r := Record{Holder: m.cfg.RouterName, FencingToken: fencingToken, WriteCount: m.record.WriteCount + 1}
-	if m.revision == 0 {
+	r := Record{Holder: m.cfg.RouterName, FencingToken: fencingToken, WriteCount: m.record.WriteCount + 1, Era: m.era}
+	if m.position.Revision == 0 {
 		return Action{Kind: CreateRecord, Record: r}
 	}
-	return Action{Kind: ReplaceRecord, Record: r, Revision: m.revision}
+	return Action{Kind: ReplaceRecord, Record: r, Revision: m.position.Revision}
 }
 
 // HandleRecord processes the record as it is in the store. Revision 0 means
 // that the object does not exist.
-func (m *StateMachine) HandleRecord(now time.Duration, r Record, revision uint64) {
+func (m *StateMachine) HandleRecord(now time.Duration, r Record, position fleet.StorePosition) {
 	m.callPending = false
-	if m.recordKnown && revision == m.revision {
+	m.ObserveEra(position.Era)
+	if position.Era < m.era || m.recordKnown && position == m.position {
 		return
 	}
-	// A record seen for the first time may have been written just now.
-	m.recordKnown, m.record, m.revision, m.unchangedSince = true, r, revision, now
+	// A record seen for the first time may have been written just now, and a record that
+	// is missing may have been lost just now.
+	m.recordKnown, m.record, m.position, m.unchangedSince = true, r, position, now
+	m.highestToken = max(m.highestToken, r.FencingToken)
 	m.ownRecord = false
 }
 
 // HandleWrite processes the success of the last write.
-func (m *StateMachine) HandleWrite(r Record, revision uint64) {
+func (m *StateMachine) HandleWrite(r Record, position fleet.StorePosition) {
 	m.callPending = false
+	m.ObserveEra(position.Era)
+	if r.Era != m.era {
+		// The condition of the write was about a revision of an earlier era. It may have
+		// replaced the record of another holder.
+		m.recordKnown, m.ownRecord, m.validUntil = false, false, 0
+		return
+	}
 	if !m.ownRecord {
 		m.firstOrderAt = m.lastWriteAt
 	}
-	m.recordKnown, m.ownRecord, m.record, m.revision = true, true, r, revision
+	m.recordKnown, m.ownRecord, m.record, m.position = true, true, r, position
+	m.highestToken = max(m.highestToken, r.FencingToken)
 	m.unchangedSince = m.lastWriteAt
 	m.validUntil = m.lastWriteAt + m.cfg.ValidFor
 }
--- a/modules/directory/era.go
+++ b/modules/directory/era.go
@@ -18,6 +18,13 @@
 	d.observeEraLocked(era)
 }
 
+// StoreEra returns the latest era of the store that this router knows, or 0.
+func (d *Directory) StoreEra() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.storeEra
+}
+
 // observeEraLocked records an era of the store. When it rises, the state that this router
 // knows may be newer than the store's: endpoints and routers that the store lacks stay in
 // use for a while, and pending watches of the era before end. The caller holds mu.
--- a/modules/upgrade/upgrade.go
+++ b/modules/upgrade/upgrade.go
@@ -208,6 +208,7 @@
 		}
 		changes := u.planChanges(u.directory.View())
 		u.mu.Lock()
+		u.lease.ObserveEra(u.directory.StoreEra())
 		action := u.lease.NextAction(bootClock(), len(changes) > 0 || len(u.activeChanges) > 0)
 		u.mu.Unlock()
 		if action.Kind != lease.NoAction {
@@ -269,11 +270,11 @@
 		if previous := u.lease.Record(); record.FencingToken != previous.FencingToken || record.Holder != previous.Holder {
 			u.log.WithFields(logrus.Fields{"holder": record.Holder, "fence": record.FencingToken, "revision": object.Metadata.Revision}).Info("order lease has a new holder or fencing token")
 		}
-		u.lease.HandleRecord(bootClock(), record, object.Metadata.Revision)
+		u.lease.HandleRecord(bootClock(), record, object.Position())
 	case err == nil:
-		u.lease.HandleWrite(action.Record, object.Metadata.Revision)
+		u.lease.HandleWrite(action.Record, object.Position())
 	case errors.Is(err, platform.ErrNotFound):
-		u.lease.HandleRecord(bootClock(), lease.Record{}, 0)
+		u.lease.HandleRecord(bootClock(), lease.Record{}, fleet.StorePosition{Era: object.Era})
 	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited):
 		u.lease.HandleFailure(false)
 	default:
