Ask other routers for the configuration while the store may be behind

A router that started after a restore of the store took the older configuration of the copy, although the others had the newer one in force: callers got 404 on confirmed routes there until the operator had written it again.

Routers tell each other the version that they have in force, and its content where the replicas of the store lack it. A router that starts takes configurations of the store once another one has told, after a second (era_wait), or at once if the store holds a mark that its era has settled: the router that watches first writes it into its own object 10 s after the start of an era. Published weights that another router knows count as published as well. TestRouterThatStartsAfterARestoreAsksTheOthers failed before (route of version 1 served). The tests' routers wait .1 s instead of a second.

--- a/cmd/arbutus-front/cluster_test.go
+++ b/cmd/arbutus-front/cluster_test.go
@@ -31,6 +31,8 @@
 	logs            *logChecker
 	// relaySettings are the settings of the module relay in JSON, or empty.
 	relaySettings string
+	// eraWait is how long a router that starts asks the others for their configuration.
+	eraWait string
 }
 
 type testRouter struct {
@@ -43,7 +45,7 @@
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, store: &platform.Store{}, endpointServers: map[string]*httptest.Server{}, logs: &logChecker{t: t, loggedMessages: map[string]bool{}}}
+	c := &cluster{t: t, store: &platform.Store{}, endpointServers: map[string]*httptest.Server{}, logs: &logChecker{t: t, loggedMessages: map[string]bool{}}, eraWait: "100ms"}
 	c.putConfiguration(1, nil)
 	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 1})
 	return c
@@ -99,11 +101,11 @@
 		"node": {"id": "front-%d", "role": "router", "zone": "a"},
 		"admin": {"listen": "%s:%s"},
 		"grpc": {"listen": "%s:%s"},
-		"directory": {"store": %q, "advertise": "%s:%s"},
+		"directory": {"store": %q, "advertise": "%s:%s", "era_wait": %q},
 		"upgrade": {"holder": %q, "turn_pause": "300ms"},
 		"relay": {%s},
 		"ingress": {"listen": "%s:%s", "linger": "200ms", "start_wait": "30s"}
-	}`, routerNumber, r.ip, ports[1], r.ip, ports[2], storeAddress, r.ip, ports[2], r.ip, c.relaySettings, r.ip, ports[0])
+	}`, routerNumber, r.ip, ports[1], r.ip, ports[2], storeAddress, r.ip, ports[2], c.eraWait, r.ip, c.relaySettings, r.ip, ports[0])
 	file, err := settings.Parse([]byte(text))
 	assert.NilError(c.t, err)
 	log := logrus.New()
--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -96,8 +96,9 @@
 	"router registered":                   {"era"},
 	"failed to register router; retrying": {"error"},
 	"store lacks the requested changes; listing objects again": {"kind", "era", "revision", "error"},
-	"configuration applied":                          {"version", "source", "revision"},
-	"ignored invalid configuration":                  {"source", "revision", "error"},
+	"configuration applied":                          {"version", "source", "revision", "era"},
+	"taking configurations of the store":             {"reason", "era", "waited_ms"},
+	"ignored invalid configuration":                  {"source", "revision", "era", "error"},
 	"ignored store object with invalid content":      {"revision", "error"},
 	"ignored store entry that is not a valid object": {"kind"},
 
--- a/cmd/arbutus-front/restored_test.go
+++ b/cmd/arbutus-front/restored_test.go
@@ -47,6 +47,7 @@
 	c := newCluster(t)
 	c.startEndpoint(appEndpoint("a1"))
 	c.startRouter()
+	c.eventually("the first router is registered", func() bool { return len(c.store.Names(directory.KindRouters)) == 1 })
 	copied := c.store.Copy()
 	c.startRouter()
 	c.startRouter()
@@ -57,3 +58,30 @@
 	c.eventually("all routers are registered again", func() bool { return len(c.store.Names(directory.KindRouters)) == 3 })
 	assert.Equal(t, c.store.RequestCount(http.MethodPost, directory.KindRouters)-writes, 2, "a router registered again although the copy had it")
 }
+
+// Guards against a router that starts while the store holds an older configuration, or older
+// published weights, than those that were acknowledged, and takes them although another
+// router knows the newer ones; and against one that then stays without configuration when
+// there is no other router.
+func TestRouterThatStartsAfterARestoreAsksTheOthers(t *testing.T) {
+	c := newCluster(t)
+	c.eraWait = "2s"
+	c.startEndpoint(appEndpoint("a1"))
+	first := c.startRouter()
+	copied := c.store.Copy()
+	c.putConfiguration(2, nil)
+	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+	latestWeights := func(r *testRouter) uint64 { return r.fleetView().LatestWeightsVersions["m"] }
+	c.eventually("the changes are known", func() bool { return first.serves(2) && latestWeights(first) == 2 })
+	c.store.Restore(copied)
+	second := c.startRouter()
+	for range 50 {
+		assert.Assert(t, !second.serves(1), "the router serves a configuration that was replaced")
+	}
+	c.eventually("the router has the configuration of the other one", func() bool { return second.serves(2) })
+	c.eventually("the router knows the published weights", func() bool { return latestWeights(second) == 2 })
+	first.stop(t)
+	second.stop(t)
+	alone := c.startRouter()
+	c.eventually("the router has the configuration of the store", func() bool { return alone.serves(1) })
+}
--- /dev/null
+++ b/modules/directory/configuration.go
@@ -0,0 +1,132 @@
+package directory
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/platform"
+)
+
+// A store that has just come back from a copy may hold an older configuration than the one
+// that was acknowledged. A router that runs never goes back; one that starts then asks the
+// other routers before it takes the store's configuration. The store holds a mark for each
+// era that has lasted so long that operators have written again what the copy lacked.
+
+// eraSettleTime is how long after the start of an era operators have written again what a
+// copy of the store lacked. They do so as soon as the store answers.
+const eraSettleTime = 10 * time.Second
+
+// activeConfiguration is the configuration in force.
+type activeConfiguration struct {
+	configuration *fleet.Configuration
+	// spec is its encoding in the store.
+	spec []byte
+	// inReplica is true if the replica of the store holds it.
+	inReplica bool
+}
+
+// updateConfigurationLocked decodes the configuration object. An invalid configuration
+// or one that is not newer does not replace the active one. The caller holds mu.
+func (d *Directory) updateConfigurationLocked(source string) {
+	e, ok := d.replicas[platform.KindConfiguration].Entry(platform.ConfigurationObjectName)
+	if !ok || e.Removed {
+		return
+	}
+	if !d.storeTrusted && d.eraSettledLocked() {
+		d.trustStoreLocked("era_settled")
+		return
+	}
+	if !d.storeTrusted {
+		return
+	}
+	d.active.inReplica = d.applyConfigurationLocked(e.Spec, source, e.Revision)
+}
+
+// applyConfigurationLocked makes a configuration the active one if it is valid and newer. It
+// reports whether it is now, or was before, the active one. The caller holds mu.
+func (d *Directory) applyConfigurationLocked(spec []byte, source string, revision uint64) bool {
+	c, err := platform.DecodeConfiguration(spec)
+	log := d.log.WithFields(logrus.Fields{"source": source, "revision": revision, "era": d.storeEra})
+	if err != nil {
+		log.WithError(err).Error("ignored invalid configuration")
+		return false
+	}
+	if d.active.configuration != nil && c.Version <= d.active.configuration.Version {
+		return c.Version == d.active.configuration.Version
+	}
+	d.active.configuration, d.active.spec = c, spec
+	log.WithField("version", c.Version).Info("configuration applied")
+	return true
+}
+
+// eraSettledLocked reports whether the store holds the mark of its current era. The caller
+// holds mu.
+func (d *Directory) eraSettledLocked() bool {
+	r := d.replicas[KindRouters]
+	if !d.eraKnown || r.Position().Revision == 0 || r.Position().Era != d.storeEra {
+		return false
+	}
+	for _, e := range r.LiveEntries() {
+		var spec RouterSpec
+		if err := json.Unmarshal(e.Spec, &spec); err != nil || e.Unconfirmed {
+			continue // An invalid entry is logged where the routers are listed.
+		}
+		if spec.SettledEra != nil && *spec.SettledEra == d.storeEra {
+			return true
+		}
+	}
+	return false
+}
+
+// trustStoreLocked lets this router take configurations of the store from now on. The caller
+// holds mu.
+func (d *Directory) trustStoreLocked(reason string) {
+	if d.storeTrusted {
+		return
+	}
+	d.storeTrusted = true
+	d.log.WithFields(logrus.Fields{"reason": reason, "era": d.storeEra, "waited_ms": time.Since(d.startedAt).Milliseconds()}).Info("taking configurations of the store")
+	d.updateConfigurationLocked("store")
+	d.publishViewLocked()
+}
+
+// StoreTrusted reports whether this router takes configurations of the store. If not, it
+// needs to know what the other routers have in force.
+func (d *Directory) StoreTrusted() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.storeTrusted
+}
+
+// ActiveConfiguration returns the version of the active configuration, or 0 if there is
+// none, and its encoding if the replica of the store does not hold it.
+func (d *Directory) ActiveConfiguration() (version uint64, spec []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.active.configuration == nil {
+		return 0, nil
+	}
+	if !d.active.inReplica {
+		spec = d.active.spec
+	}
+	return d.active.configuration.Version, spec
+}
+
+// MergeConfiguration takes what another router has in force: its version, and its encoding
+// if the replicas of the store do not hold it.
+func (d *Directory) MergeConfiguration(version uint64, spec []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(spec) > 0 {
+		if d.applyConfigurationLocked(spec, "router", 0) {
+			d.active.inReplica = false
+			d.publishViewLocked()
+		}
+	}
+	if version > 0 {
+		d.trustStoreLocked("other_router_asked")
+	}
+}
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -56,7 +56,7 @@
 
 func init() {
 	arbutusline.Register(func() arbutusline.Module {
-		return &Directory{WatchTimeout: settings.Duration(10 * time.Second), Watchers: 6}
+		return &Directory{WatchTimeout: settings.Duration(10 * time.Second), Watchers: 6, EraWait: settings.Duration(time.Second)}
 	})
 }
 
@@ -73,6 +73,10 @@
 	// changes from them. A router that reaches no other router always watches.
 	// Default 6.
 	Watchers int `json:"watchers"`
+	// EraWait is how long a router that starts waits for the configuration of another
+	// router while the store may just have come back from a copy. Default 1s: routers that
+	// the copy lacks register again within a third of it.
+	EraWait settings.Duration `json:"era_wait"`
 
 	log        *logrus.Entry
 	node       *node.Node
@@ -83,7 +87,7 @@
 
 	mu                       sync.Mutex
 	replicas                 map[string]*replica.Replica
-	config                   *fleet.Configuration
+	active                   activeConfiguration
 	publishedWeightsVersions map[string][]fleet.PublishedWeightsVersion
 	// versionsLoaded is true once the weights versions that were published before this
 	// router started are known.
@@ -109,6 +113,11 @@
 	// until eraKnown is true.
 	storeEra uint64
 	eraKnown bool
+	// eraKnownSince is when this router learned of the era.
+	eraKnownSince time.Time
+	// storeTrusted is true once this router takes configurations of the store.
+	storeTrusted bool
+	startedAt    time.Time
 	// unconfirmedUntil is when the objects that a restored copy of the store lacks are
 	// dropped, by kind.
 	unconfirmedUntil map[string]time.Time
@@ -203,6 +212,9 @@
 	if d.WatchTimeout <= 0 || d.Watchers < 1 {
 		return errors.New("watch_wait and watchers must be positive")
 	}
+	if d.EraWait < 0 {
+		return errors.New("era_wait must not be negative")
+	}
 	return nil
 }
 
@@ -230,7 +242,7 @@
 // Start registers this router in the store and begins to watch the store.
 func (d *Directory) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
-	d.cancel = cancel
+	d.cancel, d.startedAt = cancel, time.Now()
 	for _, kind := range replicatedKinds {
 		d.goroutines.Go(func() { d.syncKind(ctx, kind) })
 	}
--- a/modules/directory/era.go
+++ b/modules/directory/era.go
@@ -40,7 +40,7 @@
 		}
 		clear(d.watchCancels)
 	}
-	d.storeEra, d.eraKnown = era, true
+	d.storeEra, d.eraKnown, d.eraKnownSince = era, true, time.Now()
 	d.storeEraGauge.Set(float64(era))
 }
 
--- a/modules/directory/registration.go
+++ b/modules/directory/registration.go
@@ -16,6 +16,14 @@
 	Address     string `json:"address"`
 	Zone        string `json:"zone"`
 	Incarnation uint64 `json:"incarnation"`
+	// SettledEra is an era of the store for which this router found that operators have
+	// written again what a copy lacked. It is nil if there is none.
+	SettledEra *uint64 `json:"settled_era,omitempty"`
+}
+
+// describes reports whether two specs describe the same router.
+func (s RouterSpec) describes(o RouterSpec) bool {
+	return s.Address == o.Address && s.Zone == o.Zone && s.Incarnation == o.Incarnation
 }
 
 // registrationCheckInterval is the time between two checks of this router's object in the
@@ -61,18 +69,20 @@
 	spec := RouterSpec{Address: d.Advertise, Zone: d.node.Zone, Incarnation: d.node.Incarnation()}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.registered {
-		return spec, true
-	}
 	r := d.replicas[KindRouters]
-	if r.Position().Before(d.registeredAt) {
+	if r.Position().Revision == 0 || d.registered && r.Position().Before(d.registeredAt) {
 		return spec, false
 	}
+	era, settled := d.storeEra, d.eraSettledLocked()
+	marks := !settled && d.watchRank == 0 && r.Position().Era == era && time.Since(d.eraKnownSince) > eraSettleTime
+	if settled || marks {
+		spec.SettledEra = &era
+	}
 	e, ok := r.Entry(d.node.ID)
 	if !ok || e.Removed || e.Unconfirmed {
 		return spec, true
 	}
 	var stored RouterSpec
 	err := json.Unmarshal(e.Spec, &stored)
-	return spec, err != nil || stored != spec
+	return spec, err != nil || marks || !stored.describes(spec)
 }
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -43,38 +43,20 @@
 	case KindRouters:
 		// Subscribers divide work between the routers.
 		d.routerCount.Store(int64(len(d.OtherRouterNamesLocked()) + 1))
+		if !d.storeTrusted {
+			d.updateConfigurationLocked(source)
+		}
 	default:
 		return
 	}
 	d.publishViewLocked()
 }
 
-// updateConfigurationLocked decodes the configuration object. An invalid configuration
-// or one that is not newer does not replace the active one.
-func (d *Directory) updateConfigurationLocked(source string) {
-	for _, e := range d.replicas[platform.KindConfiguration].LiveEntries() {
-		if e.Name != platform.ConfigurationObjectName {
-			continue
-		}
-		c, err := platform.DecodeConfiguration(e.Spec)
-		log := d.log.WithFields(logrus.Fields{"source": source, "revision": e.Revision})
-		if err != nil {
-			log.WithError(err).Error("ignored invalid configuration")
-			return
-		}
-		if d.config != nil && c.Version <= d.config.Version {
-			return
-		}
-		d.config = c
-		log.WithField("version", c.Version).Info("configuration applied")
-	}
-}
-
 // publishViewLocked builds a new view and passes it to the subscribers. The caller
 // holds mu.
 func (d *Directory) publishViewLocked() {
 	v := &fleet.View{
-		Config: d.config, EndpointsByService: map[string][]*fleet.Endpoint{}, EndpointsByID: map[string]*fleet.Endpoint{},
+		Config: d.active.configuration, EndpointsByService: map[string][]*fleet.Endpoint{}, EndpointsByID: map[string]*fleet.Endpoint{},
 		LatestWeightsVersions: d.latestWeightsVersionsLocked(), PublishedWeightsVersions: map[string][]fleet.PublishedWeightsVersion{},
 	}
 	for model, versions := range d.publishedWeightsVersions {
@@ -121,6 +103,10 @@
 			d.log.WithFields(logrus.Fields{"model": model, "weights": version}).Info("weights version published")
 		}
 	}
+	// Another router may know a publication that a restored copy of the store lacks.
+	for model, versions := range d.publishedWeightsVersions {
+		out[model] = max(out[model], versions[len(versions)-1].Version)
+	}
 	return out
 }
 
@@ -238,6 +224,9 @@
 		wait.ForJittered(ctx, retainedCheckInterval)
 		d.mu.Lock()
 		d.dropUnconfirmedLocked(time.Now())
+		if time.Since(d.startedAt) > d.EraWait.AsDuration() {
+			d.trustStoreLocked("timeout")
+		}
 		if len(d.retainedEndpoints) > 0 {
 			d.publishViewLocked()
 		}
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -65,6 +65,9 @@
 	// cachedPartsLifetime is how long each message repeats new cached parts, which is
 	// several rounds.
 	cachedPartsLifetime = 500 * time.Millisecond
+	// maxAskedAtOnce is the number of routers that a router which starts asks in a round.
+	// In the second for which it waits it can ask over sixty.
+	maxAskedAtOnce = 8
 	// maxLimitsPerMessage is the maximum number of endpoint limits in a message.
 	maxLimitsPerMessage = 256
 	// maxCrashReportsPerMessage is the maximum number of crash reports in a message.
@@ -128,6 +131,8 @@
 	// unreachable is set after failuresBeforeRedial failed calls until the next
 	// response.
 	unreachable bool
+	// asked means that a call to the peer has ended, with a response or not.
+	asked bool
 	// storeUnreachable means that the peer reported that it does not reach the store.
 	storeUnreachable bool
 }
@@ -200,6 +205,7 @@
 func (x *Exchange) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	x.cancel = cancel
+	x.callAllNow <- struct{}{}
 	x.goroutines.Go(func() { x.runRounds(ctx) })
 	return nil
 }
@@ -290,7 +296,11 @@
 		}
 	}
 	x.directory.SetWatchRank(x.watchRankLocked())
-	if !all {
+	switch {
+	case all:
+	case !x.directory.StoreTrusted():
+		ready = x.unaskedLocked(ready)
+	default:
 		ready = peering.Choose(ready, x.Fanout, rand.Shuffle)
 	}
 	chosen := make([]*peer, 0, len(ready))
@@ -302,6 +312,14 @@
 	return chosen
 }
 
+// unaskedLocked returns some of the routers that were not asked yet, for a router that needs to
+// know their configurations. The caller holds mu.
+func (x *Exchange) unaskedLocked(ready []peering.Candidate) []peering.Candidate {
+	unasked := slices.DeleteFunc(ready, func(c peering.Candidate) bool { return x.peers[c.Address].asked })
+	rand.Shuffle(len(unasked), func(i, j int) { unasked[i], unasked[j] = unasked[j], unasked[i] })
+	return unasked[:min(len(unasked), maxAskedAtOnce)]
+}
+
 // Peers returns the other routers, ordered by address.
 func (x *Exchange) Peers() []*arbutuspb.RouterPeer {
 	x.mu.Lock()
@@ -406,7 +424,7 @@
 func (x *Exchange) recordCall(p *peer, err error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	p.callInProgress = false
+	p.callInProgress, p.asked = false, true
 	if err == nil {
 		x.calls.WithLabelValues("ok").Inc()
 		if p.unreachable {
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -46,6 +46,11 @@
 			Endpoint: l.Endpoint, Version: l.Version, Confirmations: l.Confirmations, RequestsPerSecond: l.Rate,
 		})
 	}
+	version, spec := x.directory.ActiveConfiguration()
+	out.ConfigurationVersion = version
+	if in != nil && in.GetConfigurationVersion() < version {
+		out.Configuration = spec
+	}
 	out.Changes, out.Parts = x.recentUpdates()
 	out.Named = x.recentPublishTimes()
 	if in != nil {
@@ -160,6 +165,7 @@
 		}
 		x.directory.MergeDelta(d.GetKind(), delta)
 	}
+	x.directory.MergeConfiguration(in.GetConfigurationVersion(), in.GetConfiguration())
 }
 
 // applyWeightsChange passes the stage of a weights change to the relay. The start of a
