Remember endpoints that left across a restore of the store

A copy of the store lists endpoints that have left since as ready, until they, or their lease, say so again. An endpoint that a router knew to be leaving stays so for its incarnation; one whose object was removed stays unused for 5 s, by when the store has removed it again if it is silent, and is used after that. TestEndpointsThatLeftStayAwayAfterARestore failed before.

--- a/cmd/arbutus-front/restored_test.go
+++ b/cmd/arbutus-front/restored_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/arbutusline/arbutusline/fleet"
 	"github.com/arbutusline/arbutusline/modules/directory"
 	"github.com/arbutusline/arbutusline/platform"
 )
@@ -85,3 +86,32 @@
 	alone := c.startRouter()
 	c.eventually("the router has the configuration of the store", func() bool { return alone.serves(1) })
 }
+
+// Guards against requests to endpoints that leave, or have left, because a restored copy of
+// the store lists them as ready again; and against a sound endpoint that stays unused because
+// its object was once removed.
+func TestEndpointsThatLeftStayAwayAfterARestore(t *testing.T) {
+	c := newCluster(t)
+	staying, draining, gone := c.startEndpoint(appEndpoint("a1")), c.startEndpoint(appEndpoint("a2")), c.startEndpoint(appEndpoint("a3"))
+	router := c.startRouter()
+	copied := c.store.Copy()
+	c.registerEndpoint(draining, "draining")
+	c.store.Remove("servers", gone.ID)
+	c.eventually("the router knows", func() bool {
+		v := router.fleetView()
+		return v.EndpointsByID[gone.ID] == nil && v.EndpointsByID[draining.ID].State == fleet.Draining
+	})
+	before := len(draining.ExecutedRequests()) + len(gone.ExecutedRequests())
+	c.store.Restore(copied)
+	c.putConfiguration(2, nil)
+	c.eventually("the router follows the restored store", func() bool { return router.serves(2) })
+	for i := range 60 {
+		router.send(fmt.Sprintf("r%d", i), http.MethodGet, "/look/x", "")
+	}
+	assert.Equal(t, len(draining.ExecutedRequests())+len(gone.ExecutedRequests()), before)
+	assert.Assert(t, len(staying.ExecutedRequests()) >= 60)
+	c.eventually("an endpoint that is listed for longer than the store keeps silent ones is used", func() bool {
+		return router.fleetView().EndpointsByID[gone.ID] != nil
+	})
+	assert.Equal(t, router.fleetView().EndpointsByID[draining.ID].State, fleet.Draining)
+}
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -98,7 +98,9 @@
 	retainedEndpoints       map[string]retainedEndpoint
 	// leavingEndpoints are the endpoints that said themselves that they shut down.
 	leavingEndpoints map[string]leavingEndpoint
-	decodedEndpoints map[string]decodedEndpoint
+	// departedEndpoints are the endpoints whose objects were removed.
+	departedEndpoints map[string]departedEndpoint
+	decodedEndpoints  map[string]decodedEndpoint
 	// loggedInvalidRevisions maps the name of each logged invalid object to its
 	// revision.
 	loggedInvalidRevisions map[string]uint64
@@ -173,7 +175,7 @@
 	}
 	d.publishedWeightsVersions, d.observedWeightsVersions = map[string][]fleet.PublishedWeightsVersion{}, map[string]map[string]uint64{}
 	d.unconfirmedUntil, d.watchCancels = map[string]time.Time{}, map[string]context.CancelCauseFunc{}
-	d.leavingEndpoints = map[string]leavingEndpoint{}
+	d.leavingEndpoints, d.departedEndpoints = map[string]leavingEndpoint{}, map[string]departedEndpoint{}
 	d.retainedEndpoints, d.decodedEndpoints, d.loggedInvalidRevisions = map[string]retainedEndpoint{}, map[string]decodedEndpoint{}, map[string]uint64{}
 	d.view.Store(&fleet.View{})
 	d.store = platform.NewStoreClient(d.Store)
--- a/modules/directory/era.go
+++ b/modules/directory/era.go
@@ -35,6 +35,7 @@
 	if d.eraKnown {
 		d.log.WithFields(logrus.Fields{"era": era, "before": d.storeEra}).Warn("store came back from a copy")
 		d.storeReachableSince = time.Now()
+		d.rememberDeparturesLocked(d.storeReachableSince)
 		for _, cancel := range d.watchCancels {
 			cancel(platform.ErrEraChanged)
 		}
--- a/modules/directory/leaving.go
+++ b/modules/directory/leaving.go
@@ -18,6 +18,56 @@
 // list: far longer than a shutdown takes.
 const leavingRetention = 10 * time.Minute
 
+// departedQuarantine is how long an endpoint that had left stays unused when a restored copy
+// of the store lists it again. The store removes the object of an endpoint after three
+// missed heartbeats, of 1.2 s each on the users' platform.
+const departedQuarantine = 5 * time.Second
+
+// departedEndpoint is an incarnation of an endpoint whose object was removed.
+type departedEndpoint struct {
+	startedAtUnixMS int64
+	removedAt       time.Time
+	// ignoredUntil is zero until the store comes back from a copy.
+	ignoredUntil time.Time
+}
+
+// rememberDeparturesLocked keeps what this router knows of endpoints that leave or have left
+// when the store comes back from a copy in which they are ready. The caller holds mu.
+func (d *Directory) rememberDeparturesLocked(now time.Time) {
+	for id, e := range d.view.Load().EndpointsByID {
+		if e.State == fleet.Draining {
+			d.leavingEndpoints[id] = leavingEndpoint{e.StartedAtUnixMS, now}
+		}
+	}
+	for id, departed := range d.departedEndpoints {
+		departed.ignoredUntil = now.Add(departedQuarantine)
+		d.departedEndpoints[id] = departed
+	}
+}
+
+// ignoredAsDepartedLocked reports whether an endpoint that a restored copy lists has left
+// before. The caller holds mu.
+func (d *Directory) ignoredAsDepartedLocked(e *fleet.Endpoint, now time.Time) bool {
+	departed, ok := d.departedEndpoints[e.ID]
+	return ok && departed.startedAtUnixMS == e.StartedAtUnixMS && now.Before(departed.ignoredUntil)
+}
+
+// expireDeparturesLocked forgets departed endpoints after leavingRetention. It reports
+// whether a quarantine has ended since the last call. The caller holds mu.
+func (d *Directory) expireDeparturesLocked(now time.Time) bool {
+	ended := false
+	for id, departed := range d.departedEndpoints {
+		if !departed.ignoredUntil.IsZero() && !now.Before(departed.ignoredUntil) {
+			departed.ignoredUntil, ended = time.Time{}, true
+			d.departedEndpoints[id] = departed
+		}
+		if now.Sub(departed.removedAt) > leavingRetention {
+			delete(d.departedEndpoints, id)
+		}
+	}
+	return ended
+}
+
 // ObserveLeaving records that an endpoint said in a response that it shuts down. It counts
 // as draining from then on, whatever its object in the store says.
 func (d *Directory) ObserveLeaving(e *fleet.Endpoint) {
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -62,8 +62,9 @@
 	for model, versions := range d.publishedWeightsVersions {
 		v.PublishedWeightsVersions[model] = slices.Clone(versions)
 	}
+	now := time.Now()
 	for _, e := range d.replicas[platform.KindEndpoints].LiveEntries() {
-		if endpoint := d.decodeEndpointLocked(e); endpoint != nil {
+		if endpoint := d.decodeEndpointLocked(e); endpoint != nil && !d.ignoredAsDepartedLocked(endpoint, now) {
 			v.EndpointsByID[endpoint.ID] = endpoint
 		}
 	}
@@ -227,7 +228,7 @@
 		if time.Since(d.startedAt) > d.EraWait.AsDuration() {
 			d.trustStoreLocked("timeout")
 		}
-		if len(d.retainedEndpoints) > 0 {
+		if departuresExpired := d.expireDeparturesLocked(time.Now()); departuresExpired || len(d.retainedEndpoints) > 0 {
 			d.publishViewLocked()
 		}
 		d.mu.Unlock()
@@ -248,6 +249,7 @@
 	for id, e := range old.EndpointsByID {
 		if v.EndpointsByID[id] == nil {
 			d.log.WithFields(logrus.Fields{"endpoint": id, "service": e.Service, "address": e.Address}).Info("endpoint removed")
+			d.departedEndpoints[id] = departedEndpoint{startedAtUnixMS: e.StartedAtUnixMS, removedAt: time.Now()}
 			delete(d.decodedEndpoints, id)
 			delete(d.observedWeightsVersions, id)
 		}
