Say what the object API promises after a restore, and play restores in the soak

The soak of the routers on the platform takes copies of its store, brings it back from them and writes again, up to .45 s later, what operators and endpoints had written.

--- a/objectstore/objectstore.go
+++ b/objectstore/objectstore.go
@@ -64,6 +64,12 @@
 
 // Store is the object API. All methods may fail with ErrUnavailable or
 // ErrRateLimited.
+//
+// A store loses no acknowledged write, and versions never go back. Claims of work that must
+// not run twice, rules and rollouts rely on it, and nothing in this interface shows that a
+// store has come back from a backup: its versions would be given out again. A backup is
+// restored only while no process of the deployment runs, with versions above all that were
+// ever given out.
 type Store interface {
 	// Get returns the object with the given key, or ErrNotFound.
 	Get(ctx context.Context, key string) (Object, error)
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -70,6 +70,8 @@
 	routers          []*router
 	serviceEndpoints []*endpoint
 	engineEndpoints  []*endpoint
+	// restoreMu is held from a copy of the store until the store is restored from it.
+	restoreMu sync.Mutex
 
 	mu                   sync.Mutex
 	history              History
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,9 @@
 	// undisturbedPeriod is how long callers run before the first fault, and again
 	// after the recovery from the last one. All calls must succeed or be refused then.
 	undisturbedPeriod = 1200 * time.Millisecond
+	// restoreStep is the unit of the time from a restore of the store until operators and
+	// endpoints have written again what was lost.
+	restoreStep = 50 * time.Millisecond
 )
 
 // regressions lists seeds that have failed, with the cause.
@@ -204,6 +207,18 @@
 		d.recordFault("store write responses lost", "", false, duration)
 		d.store.LoseWriteResponses(1 + target%3)
 	},
+	func(d *deployment, target int, duration time.Duration) {
+		if !d.restoreMu.TryLock() {
+			return
+		}
+		defer d.restoreMu.Unlock()
+		copied := d.store.Copy()
+		time.Sleep(duration)
+		d.recordFault("store restored from a copy", "", false, duration)
+		d.store.Restore(copied)
+		time.Sleep(time.Duration(target%10) * restoreStep)
+		d.store.Rewrite()
+	},
 	func(d *deployment, _ int, duration time.Duration) {
 		d.recordFault("configuration change without watch events", "", false, duration)
 		d.store.ChangeWithoutEvents(d.publishNextConfiguration)
