Log the software version of endpoints and what a stream resumes

Routers decoded an endpoint's software version and dropped it, and did not read which request began a stream that a caller continues. Both are kept and logged, with each attempt that failed and each stream that ended, so that a stream joined from two versions shows. Nothing decides by them yet.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -29,7 +29,7 @@
 	"request refused": {"request", "host", "path", "status", "reason", "configuration"},
 	"request ended":   {"request", "route", "team", "outcome", "tries", "endpoint", "configuration", "sent_ms", "first_ms", "took_ms"},
 	"attempt failed": {
-		"request", "route", "service", "endpoint", "address", "try", "result", "status", "weights", "cost_ms", "age_ms",
+		"request", "route", "service", "endpoint", "address", "software", "try", "result", "status", "weights", "cost_ms", "age_ms",
 		"left_ms", "last_event", "configuration", "shared_parts", "head", "events", "try_ms", "error",
 	},
 	"request refused because of overload": {
@@ -41,7 +41,7 @@
 	"failed to reset connection of caller": {"request", "error"},
 
 	// Endpoints.
-	"endpoint added or changed state":             {"endpoint", "service", "address", "draining"},
+	"endpoint added or changed state":             {"endpoint", "service", "address", "software", "draining"},
 	"endpoint says that it leaves":                {"endpoint", "service", "address"},
 	"endpoint removed":                            {"endpoint", "service", "address"},
 	"endpoint suspended":                          {"request", "endpoint", "address", "result", "failure_share", "suspensions", "for_ms"},
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -140,6 +140,9 @@
 	// Slots is the number of requests that the endpoint runs concurrently.
 	Slots int
 	State EndpointState
+	// SoftwareVersion is the version of the endpoint's software, not of its weights.
+	// What two versions of a service generate for one stream does not fit together.
+	SoftwareVersion string
 	// WarmupRemaining is how much longer the endpoint is slow after its start,
 	// as of the time at which it wrote its entry in the store.
 	WarmupRemaining time.Duration
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -242,7 +242,7 @@
 		previous := old.EndpointsByID[id]
 		if previous == nil || previous.State != e.State {
 			d.log.WithFields(logrus.Fields{
-				"endpoint": id, "service": e.Service, "address": e.Address, "draining": e.State == fleet.Draining,
+				"endpoint": id, "service": e.Service, "address": e.Address, "software": e.SoftwareVersion, "draining": e.State == fleet.Draining,
 			}).Info("endpoint added or changed state")
 		}
 	}
--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -230,7 +230,7 @@
 	req := &relay.Request{
 		ID: r.Header.Get(platform.HeaderRequestID), Method: r.Method, URI: requestTarget(r), Host: r.Host, Header: r.Header,
 		Body: body, Route: route, Team: team, Service: route.PickService(rand.Float64()), ArrivedAt: arrivedAt,
-		ConfigurationVersion: config.Version, LastEventID: r.Header.Get(platform.HeaderLastEventID),
+		ConfigurationVersion: config.Version, LastEventID: r.Header.Get(platform.HeaderLastEventID), Resumes: r.Header.Get(platform.HeaderResumes),
 		CallerLeft: callerLeft(r.Context()),
 	}
 	return req, decodeHeaders(req, r.Header)
@@ -387,6 +387,12 @@
 	if r.SharedTokens > 0 {
 		f["cached"], f["shared"], f["fetch_from"] = r.CachedTokens, r.SharedTokens, r.FetchFrom
 	}
+	if req.Route.Kind == fleet.Stream {
+		f["software"] = r.SoftwareVersion
+	}
+	if req.LastEventID != "" {
+		f["resumes"], f["after_event"] = req.Resumes, req.LastEventID
+	}
 	if r.Reason != "" {
 		f["reason"] = r.Reason
 	}
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -227,7 +227,7 @@
 
 // recordChoice copies a choice into the report.
 func (x *execution) recordChoice(c selection.Choice) {
-	x.report.Attempts, x.report.EndpointID = x.attempts, c.Endpoint.ID
+	x.report.Attempts, x.report.EndpointID, x.report.SoftwareVersion = x.attempts, c.Endpoint.ID, c.Endpoint.SoftwareVersion
 	x.report.CachedTokens, x.report.FetchFrom = c.CachedTokens, c.FetchFrom
 	if x.req.Prompt != nil {
 		x.report.SharedTokens = x.req.Prompt.SharedTokens()
@@ -264,7 +264,7 @@
 	}
 	x.report.Reason = resultNames[x.lastResult.kind]
 	x.log().WithFields(logrus.Fields{
-		"endpoint": c.Endpoint.ID, "address": c.Endpoint.Address, "try": x.attempts, "result": resultNames[x.lastResult.kind],
+		"endpoint": c.Endpoint.ID, "address": c.Endpoint.Address, "software": c.Endpoint.SoftwareVersion, "try": x.attempts, "result": resultNames[x.lastResult.kind],
 		"status": x.lastResult.status, "weights": c.WeightsVersion, "cost_ms": c.Cost.Milliseconds(),
 		"age_ms": time.Since(x.req.ArrivedAt).Milliseconds(), "left_ms": time.Until(x.req.Deadline).Milliseconds(),
 		"last_event": x.lastEventID, "configuration": x.req.ConfigurationVersion, "shared_parts": x.formatSharedParts(),
--- a/modules/relay/job.go
+++ b/modules/relay/job.go
@@ -37,6 +37,9 @@
 	// LastEventID is the event after which the caller resumes a stream. It is empty
 	// if the stream starts from the beginning.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of the stream. It is
+	// empty if the stream starts from the beginning or the caller does not say.
+	Resumes string
 }
 
 // fingerprint identifies the request by method, host, URI, team and body, so that a
@@ -138,6 +141,8 @@
 	// SharedTokens is the number of tokens of the prompt's shared parts.
 	SharedTokens int
 	FetchFrom    string
+	// SoftwareVersion is that of the endpoint of the last attempt.
+	SoftwareVersion string
 	// TimeToSend is the time from arrival until the last attempt was sent, or 0 if none
 	// was.
 	TimeToSend time.Duration
