--- a/cmd/arbutus-front/cluster_test.go
+++ b/cmd/arbutus-front/cluster_test.go
@@ -27,6 +27,7 @@
 	t               *testing.T
 	store           *platform.Store
 	endpointServers map[string]*httptest.Server
+	engines         []*platform.Endpoint
 	routers         []*testRouter
 	logs            *logChecker
 	// relaySettings are the settings of the module relay in JSON, or empty.
@@ -64,6 +65,7 @@
 func (c *cluster) startEndpoint(e *platform.Endpoint) *platform.Endpoint {
 	if e.Model != "" {
 		e.SetWeightsVersion(1)
+		c.engines = append(c.engines, e)
 	}
 	server := httptest.NewServer(e)
 	c.t.Cleanup(server.Close)
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -28,6 +28,9 @@
 	ID      string
 	Service string
 	Model   string
+	// SoftwareVersion is the version of the endpoint's software, "v1" if empty. The events
+	// of a stream contain it.
+	SoftwareVersion string
 	// StreamEvents is the number of events of a stream, EventInterval the time between
 	// them.
 	StreamEvents  int
@@ -213,7 +216,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	entry := map[string]any{
-		"service": e.Service, "address": address, "zone": zone, "version": "v1", "slots": 8, "state": state,
+		"service": e.Service, "address": address, "zone": zone, "version": e.softwareVersion(), "slots": 8, "state": state,
 		"cold_remaining_ms": 0, "sequence": 1,
 	}
 	if e.Model != "" {
@@ -222,6 +225,13 @@
 	return entry
 }
 
+func (e *Endpoint) softwareVersion() string {
+	if e.SoftwareVersion == "" {
+		return "v1"
+	}
+	return e.SoftwareVersion
+}
+
 // ServeHTTP serves the engine API and executes all other requests.
 func (e *Endpoint) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	e.addResponseHeader(rw.Header())
@@ -428,7 +438,7 @@
 			_ = flusher.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(rw, "id: %d\ndata: token %d\n\n", n, n); err != nil {
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: token %d of %s\n\n", n, n, e.softwareVersion()); err != nil {
 			return
 		}
 		if flusher.Flush() != nil {
