Decide by a shared table at which software version a stream may go on

A pure package: the streams of a service are divided into 256 slots by the ID of the request that began them; a table in the store assigns each slot to a version and names all versions at which live streams of the slot may have begun. Any router, also one that has just started, can tell the version of a stream from its ID, unless the slot was moved within the lifetime of a stream; then only a record tells, and without one the stream is not continued. A router reads the table for each stream that is taken up, or has waited out what the others knew when the store was lost. After a restore of the store, only routers that knew the table go on with it; others begin a new one whose older streams are unknown.

TestStreamsGoOnAtTheirVersion plays histories against an oracle: routers die alone and all at once, pause and learn late, releases overlap or happen at once, the store is away or comes back from copies, streams are taken up again and again.

--- /dev/null
+++ b/decision/versionpin/history_test.go
@@ -0,0 +1,440 @@
+package versionpin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutusline/arbutusline/fleet"
+)
+
+const (
+	tick           = 20 * time.Millisecond
+	flushInterval  = 250 * time.Millisecond
+	firstEventTime = 160 * time.Millisecond
+	lifetime       = 15 * time.Second
+)
+
+var testConfig = Config{
+	StreamLifetime: lifetime, SpreadTime: 5 * time.Second, OutageSpreadTime: time.Second,
+	MinChangeInterval: time.Second, MinPruneInterval: 3 * time.Second,
+}
+
+// world is a deployment in virtual time: a store that comes back from copies, routers that
+// die and pause, endpoints of several versions, and callers that take up broken streams.
+type world struct {
+	rng      *rand.Rand
+	now      time.Duration
+	store    simStore
+	copied   simStore
+	downTill time.Duration
+	routers  []*simRouter
+	// endpoints counts the ready endpoints of each version, and next is the release in
+	// progress: endpoints move to it one by one.
+	endpoints map[string]int
+	release   string
+	releases  int
+	moveEvery time.Duration
+	streams   []*simStream
+	nextID    int
+	// begun, refused, takenUp and continued count new streams and take-ups. A take-up counts
+	// only if the stream's version has endpoints.
+	begun, refused, takenUp, continued int
+	tableWrites, recordWrites          int
+	faults                             faultRates
+	killAt                             time.Duration
+}
+
+type simStore struct {
+	position fleet.StorePosition
+	table    []byte
+	tableAt  fleet.StorePosition
+	// records are what each router wrote last.
+	records map[int]*Records
+}
+
+func (s simStore) clone() simStore {
+	records := map[int]*Records{}
+	for i, r := range s.records {
+		records[i] = r
+	}
+	s.records = records
+	return s
+}
+
+type simRouter struct {
+	index    int
+	machine  *Machine
+	records  *Records
+	startsAt time.Duration
+	alive    bool
+	// seesAt is when it next observes the store and the endpoints, and flushAt when it
+	// next writes records.
+	seesAt, flushAt, startedAt, needSince time.Duration
+	capacity                              Capacity
+	loadedRecords                         bool
+}
+
+// simStream is a stream and, for the oracle, the version of its events.
+type simStream struct {
+	hash       uint64
+	begunAt    time.Duration
+	endsAt     time.Duration
+	firstAt    time.Duration
+	router     *simRouter
+	version    string
+	record     bool
+	hasEvents  bool
+	broken     bool
+	retryAt    time.Duration
+	wasTakenUp bool
+}
+
+func newWorld(seed uint64, routers int) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 17)), endpoints: map[string]int{"v0": 18}, moveEvery: time.Hour,
+		store: simStore{position: fleet.StorePosition{Era: 1, Revision: 10}, records: map[int]*Records{}},
+	}
+	w.copied = w.store.clone()
+	for i := range routers {
+		w.routers = append(w.routers, &simRouter{index: i})
+		w.start(w.routers[i])
+	}
+	return w
+}
+
+func (w *world) start(r *simRouter) {
+	*r = simRouter{index: r.index, machine: NewMachine(testConfig), records: NewRecords(), alive: true, startedAt: w.now, seesAt: w.now}
+}
+
+func (w *world) storeUp() bool { return w.now >= w.downTill }
+
+func (w *world) capacity() Capacity {
+	c := Capacity{}
+	for v, n := range w.endpoints {
+		if n > 0 {
+			c[v] = n * 16
+		}
+	}
+	return c
+}
+
+// see lets a router observe the store, or what other routers know while the store is down.
+func (w *world) see(t *testing.T, r *simRouter) {
+	r.capacity = w.capacity()
+	if !w.storeUp() {
+		r.machine.ObserveStoreLost(w.now)
+		for range 3 {
+			if o := w.routers[w.rng.IntN(len(w.routers))]; o.alive && o != r {
+				r.machine.ObserveContact(w.now)
+				r.machine.ObserveStored(w.now, o.machine.stored, o.machine.position)
+			}
+		}
+		return
+	}
+	if w.store.table == nil {
+		r.machine.ObserveRead(w.now, w.now, nil, fleet.StorePosition{Era: w.store.position.Era})
+		return
+	}
+	table := &Table{}
+	assert.NilError(t, json.Unmarshal(w.store.table, table))
+	r.machine.ObserveRead(w.now, w.now, table, fleet.StorePosition{Era: w.store.position.Era, Revision: w.store.tableAt.Revision})
+}
+
+// propose lets a router write the table.
+func (w *world) propose(t *testing.T, r *simRouter) {
+	alone := w.now-r.startedAt > 2*time.Second
+	for _, o := range w.routers {
+		alone = alone && (!o.alive || o.machine.Table() == nil)
+	}
+	p, ok := r.machine.Propose(w.now, Circumstances{Capacity: r.capacity, Alone: alone, Restarted: w.now > 3*time.Second})
+	if !ok {
+		r.needSince = 0
+		return
+	}
+	if r.needSince == 0 {
+		r.needSince = w.now
+	}
+	if w.now-r.needSince < time.Duration(r.index)*300*time.Millisecond || !w.storeUp() || w.store.tableAt.Revision != p.Position.Revision {
+		return
+	}
+	data, err := json.Marshal(p.Table)
+	assert.NilError(t, err)
+	w.store.position.Revision++
+	w.store.table, w.store.tableAt = data, w.store.position
+	w.tableWrites++
+	if w.happens(w.faults.killAfterChange) {
+		w.killAt = w.now + time.Duration(100+w.rng.IntN(400))*time.Millisecond
+	}
+	r.machine.ObserveWritten(w.now, p.Table, w.store.position)
+}
+
+// flush lets a router write its records.
+func (w *world) flush(t *testing.T, r *simRouter) {
+	if !w.storeUp() {
+		return
+	}
+	if !r.loadedRecords {
+		if old := w.store.records[r.index]; old != nil {
+			data, err := json.Marshal(old)
+			assert.NilError(t, err)
+			assert.NilError(t, r.records.Merge(data, w.now+lifetime))
+		}
+		r.loadedRecords = true
+	}
+	r.records.Expire(w.now)
+	if r.records.TakeChanged() {
+		data, err := json.Marshal(r.records)
+		assert.NilError(t, err)
+		written := NewRecords()
+		assert.NilError(t, written.Merge(data, 0))
+		w.store.records[r.index] = written
+		w.store.position.Revision++
+		w.recordWrites++
+	}
+}
+
+// lookUp returns the recorded version of a stream.
+func (w *world) lookUp(t *testing.T, r *simRouter, hash uint64) (string, bool) {
+	if v, recorded := r.records.Version(hash); recorded {
+		return v, v != ""
+	}
+	if !w.storeUp() {
+		return "", false
+	}
+	found := NewRecords()
+	for _, records := range w.store.records {
+		if v, recorded := records.Version(hash); recorded {
+			found.Add(hash, v, w.now)
+		}
+	}
+	v, _ := found.Version(hash)
+	return v, v != ""
+}
+
+func (w *world) begin(r *simRouter) {
+	w.nextID++
+	s := &simStream{hash: StreamHash("llm", fmt.Sprint(w.nextID)), begunAt: w.now, router: r}
+	versions, record := r.machine.Begin(w.now, s.hash)
+	for _, v := range versions {
+		if w.endpoints[v] > 0 {
+			s.version, s.record = v, record
+			w.run(s, r)
+			w.begun++
+			w.streams = append(w.streams, s)
+			return
+		}
+	}
+	w.refused++
+}
+
+// run starts a run of a stream at a router.
+func (w *world) run(s *simStream, r *simRouter) {
+	s.router, s.broken = r, false
+	s.firstAt = w.now + firstEventTime
+	s.endsAt = s.firstAt + time.Duration(200+w.rng.IntN(2500))*time.Millisecond
+}
+
+// takeUp lets a caller take up a broken stream at a router, and checks the router's decision
+// against the oracle.
+func (w *world) takeUp(t *testing.T, seed uint64, s *simStream, r *simRouter) {
+	version, knowledge := r.machine.Resume(w.now, w.now, s.hash)
+	if knowledge == NeedsRead && w.storeUp() {
+		w.see(t, r)
+		version, knowledge = r.machine.Resume(w.now, w.now, s.hash)
+	}
+	known := knowledge == Certain
+	if knowledge == NeedsRecord {
+		version, known = w.lookUp(t, r, s.hash)
+	}
+	if !s.wasTakenUp && w.endpoints[s.version] >= 2 {
+		w.takenUp++
+	}
+	if known {
+		assert.Equal(t, version, s.version, "seed %d at %v: stream begun at %v", seed, w.now, s.begunAt)
+	}
+	if known && w.endpoints[version] > 0 {
+		if !s.wasTakenUp && w.endpoints[s.version] >= 2 {
+			w.continued++
+		}
+		w.run(s, r)
+	} else {
+		s.retryAt = w.now + 500*time.Millisecond
+	}
+	s.wasTakenUp = true
+}
+
+// step advances the world by a tick.
+func (w *world) step(t *testing.T, seed uint64) {
+	w.now += tick
+	w.injectFaults(w.faults)
+	for _, r := range w.routers {
+		if !r.alive && w.now >= r.startsAt {
+			w.start(r)
+		}
+		if !r.alive || w.now < r.seesAt-time.Second {
+			continue // Down or paused.
+		}
+		if w.now >= r.seesAt {
+			w.see(t, r)
+			w.propose(t, r)
+			r.seesAt = w.now + time.Duration(20+w.rng.IntN(400))*time.Millisecond
+		}
+		if w.now >= r.flushAt {
+			w.flush(t, r)
+			r.flushAt = w.now + flushInterval
+		}
+		if w.rng.IntN(4) == 0 {
+			w.begin(r)
+		}
+	}
+	kept := w.streams[:0]
+	for _, s := range w.streams {
+		if w.now-s.begunAt > lifetime || !s.broken && w.now >= s.endsAt && s.router.alive {
+			continue
+		}
+		kept = append(kept, s)
+		w.advance(t, seed, s)
+	}
+	w.streams = kept
+}
+
+func (w *world) advance(t *testing.T, seed uint64, s *simStream) {
+	switch {
+	case s.broken:
+		if r := w.routers[w.rng.IntN(len(w.routers))]; w.now >= s.retryAt && r.alive && w.now >= r.seesAt-time.Second {
+			w.takeUp(t, seed, s, r)
+		}
+	case !s.router.alive || s.router.startedAt > s.firstAt:
+		s.broken = true
+		if !s.hasEvents {
+			s.begunAt = -lifetime // The caller begins another stream.
+		}
+	case !s.hasEvents && w.now >= s.firstAt:
+		s.hasEvents = true
+		if s.record {
+			s.router.records.Add(s.hash, s.version, w.now+lifetime)
+		}
+	}
+}
+
+// faultRates are the mean numbers of ticks between two faults, 0 for none. After a change of
+// the table a router is killed once in killAfterChange changes, and on a restore one or all
+// routers are killed if killOnRestore is true.
+type faultRates struct {
+	killAll, killOne, pause, release, restore, storeDown int
+	killAfterChange                                      int
+	killOnRestore                                        bool
+}
+
+func (w *world) kill(r *simRouter, downtime time.Duration) {
+	r.alive, r.startsAt = false, w.now+downtime
+}
+
+func (w *world) happens(meanTicks int) bool { return meanTicks > 0 && w.rng.IntN(meanTicks) == 0 }
+
+func (w *world) injectFaults(f faultRates) {
+	if w.happens(f.killAll) {
+		for _, r := range w.routers {
+			w.kill(r, time.Duration(500+w.rng.IntN(2000))*time.Millisecond)
+		}
+	}
+	if w.happens(f.killOne) {
+		w.kill(w.routers[w.rng.IntN(len(w.routers))], time.Duration(200+w.rng.IntN(2000))*time.Millisecond)
+	}
+	if w.killAt > 0 && w.now >= w.killAt {
+		w.killAt = 0
+		w.kill(w.routers[w.rng.IntN(len(w.routers))], time.Second)
+	}
+	if w.happens(f.pause) {
+		r := w.routers[w.rng.IntN(len(w.routers))]
+		r.seesAt = w.now + time.Second + time.Duration(w.rng.IntN(3500))*time.Millisecond
+	}
+	if w.happens(f.release) && w.release == "" {
+		w.releases++
+		w.release = fmt.Sprintf("v%d", w.releases)
+		w.moveEvery = []time.Duration{tick, 100 * time.Millisecond, 400 * time.Millisecond}[w.rng.IntN(3)]
+	}
+	if w.release != "" && w.now%w.moveEvery < tick {
+		w.moveEndpoint()
+	}
+	if w.happens(f.restore / 2) {
+		w.copied = w.store.clone()
+	}
+	if w.happens(f.restore) {
+		position := w.store.position
+		w.store = w.copied.clone()
+		w.store.position.Era = position.Era + 1
+		w.downTill = w.now + time.Duration(w.rng.IntN(1500))*time.Millisecond
+		for i, r := range w.routers {
+			if f.killOnRestore && (i == 0 || position.Revision%3 == 0) {
+				w.kill(r, time.Duration(w.rng.IntN(300))*time.Millisecond)
+			}
+		}
+	}
+	if w.happens(f.storeDown) {
+		w.downTill = w.now + time.Duration(w.rng.IntN(4000))*time.Millisecond
+	}
+}
+
+// moveEndpoint replaces an endpoint by one of the new version. Half of the releases stop in
+// the middle, so that two versions serve side by side.
+func (w *world) moveEndpoint() {
+	stop := w.releases%2 == 0 && w.endpoints[w.release] >= 9
+	for v, n := range w.endpoints {
+		if v != w.release && n > 0 && !stop {
+			w.endpoints[v]--
+			w.endpoints[w.release]++
+			return
+		}
+	}
+	w.release = ""
+}
+
+// seeds is the number of histories of each kind.
+const seeds = 4
+
+// Guards against a stream that goes on at another version than that which began it, and
+// against routers that refuse to continue most streams: routers die alone and all at once,
+// pause, and learn of changes late; releases overlap, stop in the middle or happen at once;
+// the store is away or comes back from a copy; streams are taken up again and again.
+func TestStreamsGoOnAtTheirVersion(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults faultRates
+		// minShare is the least share of take-ups that go on, half of the share of new
+		// streams that begin; 0 where the store loses records.
+		minShare float64
+	}{
+		{"one version", faultRates{killAll: 800, killOne: 200, pause: 300}, .5},
+		{"routers die alone", faultRates{killOne: 100, pause: 300, release: 700}, .5},
+		{"all routers die", faultRates{killAll: 500, pause: 300, release: 700}, .5},
+		{"the store is away", faultRates{killAll: 900, killOne: 200, release: 700, storeDown: 300}, 0},
+		{"the store comes back from copies", faultRates{killAll: 900, killOne: 200, pause: 300, release: 500, restore: 500}, 0},
+		{"routers die after changes", faultRates{pause: 200, release: 400, killAfterChange: 1}, .5},
+		{"routers die with the store", faultRates{killOne: 200, release: 300, restore: 400, killOnRestore: true}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var begun, refused, takenUp, continued int
+			for seed := range uint64(seeds) {
+				w := newWorld(seed, 4)
+				w.faults = c.faults
+				for w.now < 2*time.Minute {
+					w.step(t, seed)
+				}
+				begun, refused, takenUp, continued = begun+w.begun, refused+w.refused, takenUp+w.takenUp, continued+w.continued
+			}
+			share := float64(continued) / float64(max(1, takenUp))
+			beginShare := float64(begun) / float64(begun+refused)
+			t.Logf("%d of %d streams begun, %d of %d take-ups went on", begun, begun+refused, continued, takenUp)
+			assert.Assert(t, takenUp > 200)
+			assert.Assert(t, share >= c.minShare*beginShare, "share %.2f of %.2f", share, beginShare)
+			assert.Assert(t, beginShare > .8, "only %.2f of the streams begin", beginShare)
+		})
+	}
+}
--- /dev/null
+++ b/modules/relay/version.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/arbutusline/arbutusline/fleet"
+)
+
+const (
+	// reasonVersionUnknown is the reason of refusals to continue a stream because no one can
+	// tell which software version began it.
+	reasonVersionUnknown = "software_version_unknown"
+	// reasonVersionsUnassigned is the reason of refusals because this router knows no table
+	// of the software versions at which streams may begin.
+	reasonVersionsUnassigned = "software_versions_unassigned"
+)
+
+// resumable reports whether the request is for a stream that may go on at another endpoint.
+func (r *Request) resumable() bool { return r.Route.Kind == fleet.Stream && r.Route.Resumable }
+
+// pinSoftwareVersion determines the software versions at which a resumable stream may begin
+// or go on. It returns the reason if the request must be refused.
+func (x *execution) pinSoftwareVersion(ctx context.Context) (reason string) {
+	switch {
+	case !x.req.resumable():
+	case x.req.LastEventID == "":
+		if x.softwareVersions, x.recordVersion = x.relay.versions.Begin(x.req.Service, x.req.ID); len(x.softwareVersions) == 0 {
+			return reasonVersionsUnassigned
+		}
+	default:
+		version, known := x.relay.versions.Resume(ctx, x.req.Service, x.req.Resumes, x.req.ArrivedAt)
+		if !known {
+			x.log().WithFields(logrus.Fields{"resumes": x.req.Resumes, "after_event": x.req.LastEventID}).Warn("stream not continued because its software version is unknown")
+			return reasonVersionUnknown
+		}
+		x.softwareVersions = []string{version}
+	}
+	return ""
+}
+
+// fixSoftwareVersion keeps a stream, of which the caller is about to get the first event, at
+// the software version of its endpoint.
+func (a *attempt) fixSoftwareVersion() {
+	if a.headerSent || !a.req.resumable() {
+		return
+	}
+	version := a.choice.Endpoint.SoftwareVersion
+	a.relay.mu.Lock()
+	a.softwareVersions = []string{version}
+	a.relay.mu.Unlock()
+	if a.recordVersion {
+		a.relay.versions.Record(a.req.Service, a.req.ID, version)
+	}
+}
--- /dev/null
+++ b/modules/streamversions/records.go
@@ -0,0 +1,112 @@
+package streamversions
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/arbutusline/arbutusline/decision/versionpin"
+	"github.com/arbutusline/arbutusline/internal/wait"
+	"github.com/arbutusline/arbutusline/platform"
+)
+
+// KindRecords is the kind of the store objects with the records of a router's streams, named
+// after the router.
+const KindRecords = "arbutus-streams"
+
+const (
+	// flushInterval is the time between two writes of new records. Streams that begin
+	// within it of the death of all routers are not continued.
+	flushInterval = 250 * time.Millisecond
+	// maxRecords bounds the size of a router's object to about 64 kB. It is the number of
+	// streams that a router begins at 200 a second while it keeps them.
+	maxRecords = 6000
+)
+
+// Record records the software version of a stream that this router has begun.
+func (v *StreamVersions) Record(serviceName, requestID, version string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.records.Len() < maxRecords {
+		v.records.Add(versionpin.StreamHash(serviceName, requestID), version, now()+v.recordLifetime)
+	}
+}
+
+func (v *StreamVersions) flushPeriodically() {
+	for v.ctx.Err() == nil {
+		wait.ForJittered(v.ctx, flushInterval)
+		v.mu.Lock()
+		v.records.Expire(now())
+		changed := v.records.TakeChanged()
+		v.mu.Unlock()
+		if !changed {
+			continue
+		}
+		if err := v.flush(); err != nil {
+			v.log.WithError(err).Info("failed to write records of streams")
+			v.mu.Lock()
+			v.records.MarkChanged()
+			v.mu.Unlock()
+			wait.ForJittered(v.ctx, retryDelay)
+		}
+	}
+}
+
+// flush writes the records. Before the first write it takes over those that this router
+// wrote before it restarted.
+func (v *StreamVersions) flush() error {
+	if !v.recordsLoaded {
+		o, err := v.store.Get(v.ctx, KindRecords, v.node.ID)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return err
+		}
+		if err == nil {
+			v.mu.Lock()
+			mergeErr := v.records.Merge(o.Spec, now()+v.recordLifetime)
+			v.mu.Unlock()
+			v.logInvalidRecords(v.node.ID, mergeErr)
+		}
+		v.recordsLoaded = true
+	}
+	v.mu.Lock()
+	spec, err := v.records.MarshalJSON()
+	v.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	_, err = v.store.Replace(v.ctx, KindRecords, v.node.ID, 0, rawJSON(spec))
+	if errors.Is(err, platform.ErrNotFound) {
+		_, err = v.store.Create(v.ctx, KindRecords, v.node.ID, rawJSON(spec))
+	}
+	v.tableWrites.WithLabelValues("records", writeResult(err)).Inc()
+	return err
+}
+
+// rawJSON is a value that is encoded already.
+type rawJSON []byte
+
+// MarshalJSON implements json.Marshaler.
+func (r rawJSON) MarshalJSON() ([]byte, error) { return r, nil }
+
+// listRecords lists the records of all routers.
+func (v *StreamVersions) listRecords() error {
+	objects, _, err := v.store.List(v.ctx, KindRecords)
+	if err != nil {
+		return err
+	}
+	records := versionpin.NewRecords()
+	for _, o := range objects {
+		v.logInvalidRecords(o.Metadata.Name, records.Merge(o.Spec, 0))
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.listedRecords = records
+	return nil
+}
+
+func (v *StreamVersions) logInvalidRecords(router string, err error) {
+	if err != nil {
+		v.log.WithError(err).WithFields(logrus.Fields{"router": router}).Warn("ignored invalid records of streams")
+	}
+}
--- /dev/null
+++ b/modules/streamversions/streamversions.go
@@ -0,0 +1,322 @@
+// Package streamversions is the module "stream_versions": it decides at which software
+// version of a service a resumable stream may begin, and finds out at which version a stream
+// began that a caller takes up. Routers share tables of the versions in the platform's store
+// and write records of the streams that the tables do not tell.
+package streamversions
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/decision/versionpin"
+	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/wait"
+	"github.com/arbutusline/arbutusline/modules/admin"
+	"github.com/arbutusline/arbutusline/modules/directory"
+	"github.com/arbutusline/arbutusline/modules/node"
+	"github.com/arbutusline/arbutusline/platform"
+)
+
+// Name is the name of the module.
+const Name = "stream_versions"
+
+const (
+	// defaultStreamLifetime applies if no resumable route states a timeout.
+	defaultStreamLifetime = 30 * time.Second
+	// spreadTime is several times the time in which a change reaches all routers.
+	spreadTime = 5 * time.Second
+	// outageSpreadTime is the time in which routers tell all others of a change that they
+	// learned of before the store was lost: several rounds of exchanges.
+	outageSpreadTime = time.Second
+	// minChangeInterval bounds the writes of a table while endpoints are replaced.
+	minChangeInterval = time.Second
+	// proposeInterval is the time between two checks of the tables.
+	proposeInterval = 100 * time.Millisecond
+	// rankDelay is the time for which routers of lower ranks have the first chance to
+	// write a table.
+	rankDelay = 400 * time.Millisecond
+	// retryDelay is the time after a failed write of a table or of records.
+	retryDelay = 500 * time.Millisecond
+)
+
+func init() { arbutusline.Register(func() arbutusline.Module { return &StreamVersions{} }) }
+
+// StreamVersions holds a machine for each service with resumable streams. It has no settings.
+type StreamVersions struct {
+	log        *logrus.Entry
+	node       *node.Node
+	directory  *directory.Directory
+	store      *platform.StoreClient
+	ctx        context.Context
+	cancel     context.CancelFunc
+	goroutines sync.WaitGroup
+	startedAt  time.Duration
+
+	mu       sync.Mutex
+	services map[string]*service
+	// records are those of the streams that this router has begun.
+	records *versionpin.Records
+	// recordLifetime is the longest lifetime of a stream of any service.
+	recordLifetime time.Duration
+	// recordsLoaded is true once the records of before a restart were taken over. Only the
+	// goroutine that writes records uses it.
+	recordsLoaded bool
+	// listedRecords are those of all routers when they were last listed.
+	listedRecords *versionpin.Records
+	recordsRead   sharedRead
+
+	takeUps     *prometheus.CounterVec
+	movedSlots  *prometheus.GaugeVec
+	tableWrites *prometheus.CounterVec
+}
+
+// service is the state of a service with resumable streams.
+type service struct {
+	name     string
+	machine  *versionpin.Machine
+	capacity versionpin.Capacity
+	// needSince is since when the table has to be written, or 0. notBefore is the earliest
+	// time of the next try.
+	needSince, notBefore time.Duration
+	writing              bool
+	// loggedSequence and loggedEra are those of the last table that was logged.
+	loggedSequence, loggedEra uint64
+	tableRead                 sharedRead
+}
+
+// ModuleName returns "stream_versions".
+func (v *StreamVersions) ModuleName() string { return Name }
+
+// Provision looks up the modules that StreamVersions uses.
+func (v *StreamVersions) Provision(k *arbutusline.Kernel) error {
+	v.log = k.Log.WithField("module", Name)
+	v.services, v.records, v.listedRecords = map[string]*service{}, versionpin.NewRecords(), versionpin.NewRecords()
+	v.recordLifetime = defaultStreamLifetime + spreadTime
+	v.startedAt = now()
+	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
+	if err != nil {
+		return err
+	}
+	if v.node, err = arbutusline.Lookup[*node.Node](k, node.Name); err != nil {
+		return err
+	}
+	if v.directory, err = arbutusline.Lookup[*directory.Directory](k, directory.Name); err != nil {
+		return err
+	}
+	v.store = v.directory.PlatformStore()
+	v.takeUps = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_stream_take_ups_total", Help: "Streams that callers take up, by what told the software version: table, record, or unknown.",
+	}, []string{"result"})
+	v.movedSlots = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "arbutus_stream_slots_moved", Help: "Slots of a service's streams, of 256, whose software version the table does not tell.",
+	}, []string{"service"})
+	v.tableWrites = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_stream_version_writes_total", Help: "Writes of tables and records of software versions, by object and result.",
+	}, []string{"object", "result"})
+	a.Registry().MustRegister(v.takeUps, v.movedSlots, v.tableWrites)
+	a.AddReadinessCheck(Name, v.checkReady)
+	v.ctx, v.cancel = context.WithCancel(context.Background())
+	v.directory.Subscribe(v.onViewChange)
+	return nil
+}
+
+// Start starts the writes of tables and records.
+func (v *StreamVersions) Start(context.Context) error {
+	v.goroutines.Go(func() {
+		for v.ctx.Err() == nil {
+			v.propose()
+			wait.ForJittered(v.ctx, proposeInterval)
+		}
+	})
+	v.goroutines.Go(v.flushPeriodically)
+	return nil
+}
+
+// Stop ends all store calls.
+func (v *StreamVersions) Stop(context.Context) error {
+	v.cancel()
+	v.goroutines.Wait()
+	return nil
+}
+
+// now returns the time on a clock that also counts the time for which the host was
+// suspended.
+func now() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic(errors.Wrap(err, "CLOCK_BOOTTIME")) // Every Linux has this clock.
+	}
+	return time.Duration(ts.Nano())
+}
+
+// checkReady fails while the streams of a service with endpoints cannot begin.
+func (v *StreamVersions) checkReady() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for name, s := range v.services {
+		if s.machine.Table() == nil && len(s.capacity) > 0 {
+			return errors.Newf("no software versions are assigned to the streams of %s", name)
+		}
+	}
+	return nil
+}
+
+// onViewChange takes over the routes, endpoints and tables that the directory knows.
+func (v *StreamVersions) onViewChange(view *fleet.View) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if view.Config == nil {
+		return
+	}
+	lifetimes := streamLifetimes(view.Config)
+	v.recordLifetime = spreadTime
+	for name, lifetime := range lifetimes {
+		s := v.services[name]
+		if s == nil {
+			s = &service{name: name, machine: versionpin.NewMachine(versionpin.Config{
+				SpreadTime: spreadTime, OutageSpreadTime: outageSpreadTime, MinChangeInterval: minChangeInterval,
+			})}
+			v.services[name] = s
+		}
+		s.machine.SetStreamLifetime(lifetime)
+		v.recordLifetime = max(v.recordLifetime, lifetime+spreadTime)
+		s.capacity = versionpin.Capacity{}
+		for _, e := range view.EndpointsByService[name] {
+			if e.State == fleet.Ready {
+				s.capacity[e.SoftwareVersion] += e.Slots
+			}
+		}
+		spec, position := v.directory.EntryLocked(directory.KindSoftwareVersions, name)
+		if position.Era > 0 || position.Revision > 0 || v.directory.RoutersKnownLocked() {
+			s.machine.ObserveStored(now(), v.decodeTable(name, spec), position)
+		}
+		v.logTableLocked(s)
+	}
+}
+
+// streamLifetimes returns the longest lifetime of a stream for each service with resumable
+// streams.
+func streamLifetimes(c *fleet.Configuration) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Kind != fleet.Stream || !r.Resumable {
+			continue
+		}
+		lifetime := r.Timeout
+		if lifetime <= 0 {
+			lifetime = defaultStreamLifetime
+		}
+		for _, share := range r.TrafficSplit {
+			out[share.Service] = max(out[share.Service], lifetime)
+		}
+	}
+	return out
+}
+
+// decodeTable returns the table in an object, or nil if there is none or it is invalid.
+func (v *StreamVersions) decodeTable(name string, spec []byte) *versionpin.Table {
+	if len(spec) == 0 {
+		return nil
+	}
+	t := &versionpin.Table{}
+	if err := json.Unmarshal(spec, t); err != nil {
+		v.log.WithError(err).WithField("service", name).Error("ignored invalid table of software versions")
+		return nil
+	}
+	return t
+}
+
+// logTableLocked logs a table that is newly in force. The caller holds mu.
+func (v *StreamVersions) logTableLocked(s *service) {
+	t := s.machine.Table()
+	if t == nil || t.Sequence == s.loggedSequence && t.Era == s.loggedEra {
+		return
+	}
+	s.loggedSequence, s.loggedEra = t.Sequence, t.Era
+	v.movedSlots.WithLabelValues(s.name).Set(float64(t.MovedSlots()))
+	v.log.WithFields(logrus.Fields{
+		"service": s.name, "sequence": t.Sequence, "era": t.Era, "slots": t.Shares(), "moved": t.MovedSlots(),
+	}).Info("software versions assigned to streams")
+}
+
+// Begin returns the software versions at which a new stream may begin, in order of
+// preference, and whether Record has to be called with its version. It returns none while
+// no table is known.
+func (v *StreamVersions) Begin(serviceName, requestID string) (versions []string, record bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[serviceName]
+	if s == nil {
+		return nil, false
+	}
+	v.observeContactLocked(s, spreadTime)
+	return s.machine.Begin(now(), versionpin.StreamHash(serviceName, requestID))
+}
+
+// propose writes the tables that have to change, if it is this router's turn.
+func (v *StreamVersions) propose() {
+	rank, trusted, restarted := v.directory.WatchRank(), v.directory.StoreTrusted(), v.directory.RanBefore()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range v.services {
+		t := now()
+		if s.writing || t < s.notBefore {
+			continue
+		}
+		p, need := s.machine.Propose(t, versionpin.Circumstances{
+			Capacity: s.capacity, Alone: trusted && t-v.startedAt > 2*v.directory.EraWait.AsDuration(), Restarted: restarted,
+		})
+		if !need {
+			s.needSince = 0
+			continue
+		}
+		if s.needSince == 0 {
+			s.needSince = t
+		}
+		if t-s.needSince >= time.Duration(rank)*rankDelay {
+			s.writing = true
+			v.goroutines.Go(func() { v.writeTable(s, p) })
+		}
+	}
+}
+
+// writeTable writes a proposed table. After a conflict another router has written one.
+func (v *StreamVersions) writeTable(s *service, p versionpin.Proposal) {
+	var o platform.Object
+	var err error
+	if p.Position.Revision == 0 {
+		o, err = v.store.Create(v.ctx, directory.KindSoftwareVersions, s.name, p.Table)
+	} else {
+		o, err = v.store.Replace(v.ctx, directory.KindSoftwareVersions, s.name, p.Position.Revision, p.Table)
+	}
+	v.tableWrites.WithLabelValues("table", writeResult(err)).Inc()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s.writing = false
+	if err != nil {
+		s.notBefore = now() + retryDelay
+		v.log.WithError(err).WithFields(logrus.Fields{"service": s.name, "sequence": p.Table.Sequence}).Info("failed to write software versions")
+		return
+	}
+	s.machine.ObserveWritten(now(), p.Table, o.Position())
+	v.logTableLocked(s)
+}
+
+func writeResult(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, platform.ErrConflict):
+		return "conflict"
+	}
+	return "failed"
+}
--- /dev/null
+++ b/modules/streamversions/takeup.go
@@ -0,0 +1,114 @@
+package streamversions
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusline/arbutusline/decision/versionpin"
+	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/modules/directory"
+	"github.com/arbutusline/arbutusline/platform"
+)
+
+// readTimeout bounds the time for which a request to take up a stream waits for the store,
+// which takes 4 ms for a call.
+const readTimeout = 600 * time.Millisecond
+
+// takeUpResult is what told the version of a stream, as counted.
+type takeUpResult string
+
+const (
+	toldByTable  takeUpResult = "table"
+	toldByRecord takeUpResult = "record"
+	notTold      takeUpResult = "unknown"
+)
+
+// Resume returns the software version at which a stream began. requestID is that of the
+// request that began it, as the caller says, or empty. arrivedAt is when the request to take
+// it up arrived. It returns false if the version is not known.
+func (v *StreamVersions) Resume(ctx context.Context, serviceName, requestID string, arrivedAt time.Time) (string, bool) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	version, result := v.resume(ctx, serviceName, requestID, now()-time.Since(arrivedAt))
+	v.takeUps.WithLabelValues(string(result)).Inc()
+	return version, result != notTold
+}
+
+func (v *StreamVersions) resume(ctx context.Context, serviceName, requestID string, arrivedAt time.Duration) (string, takeUpResult) {
+	v.mu.Lock()
+	s := v.services[serviceName]
+	v.mu.Unlock()
+	if s == nil {
+		return "", notTold
+	}
+	_ = s.tableRead.do(ctx, &v.goroutines, func() error { return v.readTable(s) }) // The machine knows whether it succeeded.
+	stream := versionpin.StreamHash(serviceName, requestID)
+	version, knowledge := v.askMachine(s, stream, requestID == "", arrivedAt)
+	switch {
+	case knowledge == versionpin.Certain:
+		return version, toldByTable
+	case knowledge == versionpin.NeedsRead || requestID == "":
+		return "", notTold
+	}
+	if version := v.recordedVersion(ctx, stream); version != "" {
+		return version, toldByRecord
+	}
+	return "", notTold
+}
+
+func (v *StreamVersions) askMachine(s *service, stream uint64, unnamed bool, arrivedAt time.Duration) (string, versionpin.Knowledge) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.observeContactLocked(s, outageSpreadTime)
+	if unnamed {
+		return s.machine.ResumeUnnamed(now(), arrivedAt)
+	}
+	return s.machine.Resume(now(), arrivedAt, stream)
+}
+
+// observeContactLocked tells the machine if there was contact with the store or another
+// router within a duration. The caller holds mu.
+func (v *StreamVersions) observeContactLocked(s *service, within time.Duration) {
+	if v.directory.InTouch(within) {
+		s.machine.ObserveContact(now())
+	}
+}
+
+// readTable reads a service's table from the store.
+func (v *StreamVersions) readTable(s *service) error {
+	begin := now()
+	o, err := v.store.Get(v.ctx, directory.KindSoftwareVersions, s.name)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case err == nil:
+		s.machine.ObserveRead(begin, now(), v.decodeTable(s.name, o.Spec), o.Position())
+	case errors.Is(err, platform.ErrNotFound):
+		s.machine.ObserveRead(begin, now(), nil, fleet.StorePosition{Era: o.Era})
+	default:
+		s.machine.ObserveStoreLost(now())
+		return err
+	}
+	v.logTableLocked(s)
+	return nil
+}
+
+// recordedVersion returns the recorded version of a stream, or "" if there is none.
+func (v *StreamVersions) recordedVersion(ctx context.Context, stream uint64) string {
+	v.mu.Lock()
+	version, recorded := v.records.Version(stream)
+	v.mu.Unlock()
+	if recorded {
+		return version
+	}
+	if err := v.recordsRead.do(ctx, &v.goroutines, v.listRecords); err != nil {
+		v.log.WithError(err).Info("failed to list records of streams")
+		return ""
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	version, _ = v.listedRecords.Version(stream)
+	return version
+}
