Continue streams only at the software version that began them

Callers got streams with events of two software versions of an engine, joined without a sign: within one response after a failure of the endpoint or a move before new weights, and after a take-up at any router. Routers did not know the versions.

The module stream_versions keeps the tables of decision/versionpin in the store, follows them with the other replicated objects, and writes records of streams in moved slots four times a second. The relay lets a resumable stream begin only at versions of its slot and keeps it, with retries and moves, at the version of its first event. A take-up goes to the version that the table, or a record, tells; if nothing tells, it is refused at once with 503 (software_version_unknown). Take-ups are also sent to the service of the traffic split that the stream began at. A router is ready once the streams of its services have versions.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -59,6 +59,15 @@
 	"ignored malformed time to return to an endpoint": {"request", "endpoint", "error"},
 	"request refused because of endpoint limits":      {"request", "route", "service", "ready_ms", "rate", "retry_after_ms"},
 
+	// Software versions of streams.
+	"software versions assigned to streams":                        {"service", "sequence", "era", "slots", "moved"},
+	"failed to write software versions":                            {"service", "sequence", "error"},
+	"ignored invalid table of software versions":                   {"service", "error"},
+	"stream not continued because its software version is unknown": {"request", "route", "service", "resumes", "after_event"},
+	"failed to write records of streams":                           {"error"},
+	"failed to list records of streams":                            {"error"},
+	"ignored invalid records of streams":                           {"router", "error"},
+
 	// Budgets and requests that crash endpoints.
 	"retry budget exhausted":                        {"service", "first", "retries", "slack"},
 	"retry budget available again":                  {"service", "first", "retries", "slack"},
@@ -156,7 +165,7 @@
 func TestLogMessageTableIsComplete(t *testing.T) {
 	logged := map[string]bool{}
 	for _, name := range modules {
-		dir := map[string]string{"log": "logging", "cache_events": "cacheevents", "grpc": "grpcserver"}[name]
+		dir := map[string]string{"log": "logging", "cache_events": "cacheevents", "grpc": "grpcserver", "stream_versions": "streamversions"}[name]
 		if dir == "" {
 			dir = name
 		}
--- a/cmd/arbutus-front/main.go
+++ b/cmd/arbutus-front/main.go
@@ -16,6 +16,7 @@
 	"github.com/arbutusline/arbutusline/modules/relay"
 	"github.com/arbutusline/arbutusline/modules/scheduling"
 	"github.com/arbutusline/arbutusline/modules/status"
+	"github.com/arbutusline/arbutusline/modules/streamversions"
 	"github.com/arbutusline/arbutusline/modules/upgrade"
 	"github.com/arbutusline/arbutusline/modules/upstream"
 	"github.com/arbutusline/arbutusline/process"
@@ -25,7 +26,7 @@
 // for callers starts last and stops first.
 var modules = []string{
 	logging.Name, node.Name, admin.Name, grpcserver.Name, upstream.Name, directory.Name,
-	relay.Name, cacheevents.Name, exchange.Name, upgrade.Name, status.Name, scheduling.Name, ingress.Name,
+	streamversions.Name, relay.Name, cacheevents.Name, exchange.Name, upgrade.Name, status.Name, scheduling.Name, ingress.Name,
 }
 
 func main() {
--- a/decision/selection/pool.go
+++ b/decision/selection/pool.go
@@ -8,8 +8,9 @@
 	"github.com/arbutusline/arbutusline/fleet"
 )
 
-// poolKey identifies a pool. The model is empty for plain requests.
-type poolKey struct{ service, model string }
+// poolKey identifies a pool. The model is empty for plain requests, and the software version
+// for requests that any version may run.
+type poolKey struct{ service, model, softwareVersion string }
 
 // pool holds the ready endpoints of a service in a view.
 type pool struct {
@@ -39,7 +40,7 @@
 // pool returns the candidates for a request in the view. They are collected once per
 // view, because views are immutable.
 func (s *Selector) pool(v *fleet.View, r *Request) *pool {
-	key := poolKey{service: r.Service}
+	key := poolKey{service: r.Service, softwareVersion: r.SoftwareVersion}
 	if r.Prompt != nil {
 		key.model = r.Prompt.Model
 	}
@@ -57,7 +58,7 @@
 func (s *Selector) fillPool(p *pool, v *fleet.View, key poolKey) {
 	p.view, p.candidates, p.newestLoadedVersion = v, p.candidates[:0], 0
 	for _, e := range v.EndpointsByService[key.service] {
-		if e.State != fleet.Ready {
+		if e.State != fleet.Ready || key.softwareVersion != "" && e.SoftwareVersion != key.softwareVersion {
 			continue
 		}
 		c := candidate{endpoint: e, state: s.endpointState(e.ID), idHash: xxhash.Sum64String(e.ID), weightsVersion: e.WeightsVersions[key.model]}
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -59,6 +59,8 @@
 	// CacheNamespace identifies a team that does not share cached parts, and is
 	// empty for all others.
 	CacheNamespace string
+	// SoftwareVersion is the only software version that may run the request, empty for any.
+	SoftwareVersion string
 	// Exclude are endpoints that must not be chosen.
 	Exclude []string
 	// MovedForWeightsChange is true for a request that left another endpoint because
--- a/internal/reference/modules.go
+++ b/internal/reference/modules.go
@@ -25,6 +25,7 @@
 	_ "github.com/arbutusline/arbutusline/modules/runner"
 	_ "github.com/arbutusline/arbutusline/modules/scheduling"
 	_ "github.com/arbutusline/arbutusline/modules/status"
+	_ "github.com/arbutusline/arbutusline/modules/streamversions"
 	_ "github.com/arbutusline/arbutusline/modules/trace"
 	_ "github.com/arbutusline/arbutusline/modules/upgrade"
 	_ "github.com/arbutusline/arbutusline/modules/upstream"
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -30,6 +30,10 @@
 // addresses.
 const KindRouters = "arbutus-routers"
 
+// KindSoftwareVersions is the kind of the store objects that assign the streams of a service
+// to software versions, named after the service.
+const KindSoftwareVersions = "arbutus-software-versions"
+
 const (
 	// minRetryDelay and maxRetryDelay bound the exponential delay after a failed store
 	// call. The platform charges for each call, and other routers send changes
@@ -52,7 +56,7 @@
 	tombstoneRevisions = 20000
 )
 
-var replicatedKinds = []string{platform.KindConfiguration, platform.KindEndpoints, platform.KindPublishedWeightsVersions, KindRouters}
+var replicatedKinds = []string{platform.KindConfiguration, platform.KindEndpoints, platform.KindPublishedWeightsVersions, KindRouters, KindSoftwareVersions}
 
 func init() {
 	arbutusline.Register(func() arbutusline.Module {
@@ -132,6 +136,10 @@
 	// position of the last write.
 	registered   bool
 	registeredAt fleet.StorePosition
+	// ranBefore is true if the store had this router's object when it started.
+	ranBefore bool
+	// lastContact is when the store or another router last responded.
+	lastContact atomic.Int64
 	// watchRank is this router's rank among the reachableRouters, from 0.
 	watchRank        int
 	reachableRouters int
@@ -419,7 +427,33 @@
 	}
 }
 
+// ObserveContact records that the store or another router has responded.
+func (d *Directory) ObserveContact() { d.lastContact.Store(time.Now().UnixNano()) }
+
+// InTouch reports whether the store or another router has responded within a duration, or
+// whether this router is the only one. It takes no lock.
+func (d *Directory) InTouch(within time.Duration) bool {
+	return d.RouterCount() == 1 || time.Now().UnixNano()-d.lastContact.Load() < int64(within)
+}
+
+// WatchRank returns this router's rank, from 0, among the routers that reach the store.
+func (d *Directory) WatchRank() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.watchRank
+}
+
+// RanBefore reports whether the store had this router's object when it started.
+func (d *Directory) RanBefore() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ranBefore
+}
+
 func (d *Directory) observeStoreCall(operation string, took time.Duration, err error) {
+	if err == nil {
+		d.ObserveContact()
+	}
 	d.storeCalls.WithLabelValues(operation, storeCallResult(err)).Inc()
 	if operation != "watch" {
 		d.storeCallSeconds.WithLabelValues(operation).Observe(took.Seconds())
--- a/modules/directory/registration.go
+++ b/modules/directory/registration.go
@@ -79,7 +79,9 @@
 		spec.SettledEra = &era
 	}
 	e, ok := r.Entry(d.node.ID)
-	if !ok || e.Removed || e.Unconfirmed {
+	exists := ok && !e.Removed && !e.Unconfirmed
+	d.ranBefore = d.ranBefore || exists && !d.registered
+	if !exists {
 		return spec, true
 	}
 	var stored RouterSpec
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -39,7 +39,7 @@
 	switch kind {
 	case platform.KindConfiguration:
 		d.updateConfigurationLocked(source)
-	case platform.KindEndpoints, platform.KindPublishedWeightsVersions:
+	case platform.KindEndpoints, platform.KindPublishedWeightsVersions, KindSoftwareVersions:
 	case KindRouters:
 		// Subscribers divide work between the routers.
 		d.routerCount.Store(int64(len(d.OtherRouterNamesLocked()) + 1))
@@ -332,6 +332,18 @@
 	return out
 }
 
+// EntryLocked returns what the store holds for an object, as far as this router knows, and
+// its position. The revision is 0 if it holds nothing. The caller holds mu, so only functions
+// passed to Subscribe may call it.
+func (d *Directory) EntryLocked(kind, name string) (spec []byte, position fleet.StorePosition) {
+	r := d.replicas[kind]
+	position.Era = r.Position().Era
+	if e, ok := r.Entry(name); ok && !e.Removed && !e.Unconfirmed {
+		spec, position.Revision = e.Spec, e.Revision
+	}
+	return spec, position
+}
+
 // RoutersKnownLocked reports whether the registered routers are known. Before that, a router
 // seems to be the only one. The caller holds mu, so only functions passed to Subscribe may
 // call it.
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -427,6 +427,7 @@
 	p.callInProgress, p.asked = false, true
 	if err == nil {
 		x.calls.WithLabelValues("ok").Inc()
+		x.directory.ObserveContact()
 		if p.unreachable {
 			x.log.WithField("address", p.address).Info("router reachable again")
 		}
--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
@@ -229,13 +230,26 @@
 	}
 	req := &relay.Request{
 		ID: r.Header.Get(platform.HeaderRequestID), Method: r.Method, URI: requestTarget(r), Host: r.Host, Header: r.Header,
-		Body: body, Route: route, Team: team, Service: route.PickService(rand.Float64()), ArrivedAt: arrivedAt,
+		Body: body, Route: route, Team: team, Service: route.PickService(trafficFraction(route, r.Header)), ArrivedAt: arrivedAt,
 		ConfigurationVersion: config.Version, LastEventID: r.Header.Get(platform.HeaderLastEventID), Resumes: r.Header.Get(platform.HeaderResumes),
 		CallerLeft: callerLeft(r.Context()),
 	}
 	return req, decodeHeaders(req, r.Header)
 }
 
+// trafficFraction returns a number in [0,1) that divides the traffic of a route. A resumable
+// stream that a caller takes up gets that of the request that began it.
+func trafficFraction(route *fleet.Route, h http.Header) float64 {
+	id := h.Get(platform.HeaderRequestID)
+	if h.Get(platform.HeaderLastEventID) != "" {
+		id = h.Get(platform.HeaderResumes)
+	}
+	if route.Kind != fleet.Stream || !route.Resumable || id == "" {
+		return rand.Float64()
+	}
+	return float64(xxhash.Sum64String(id)>>11) / (1 << 53)
+}
+
 // waitForConfiguration returns the active configuration, or nil if there is none yet. A
 // router that has just started waits for its first configuration, because it arrives
 // sooner than a refused caller would retry.
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -147,6 +147,11 @@
 	headerSent bool
 	// lastEventID is the ID of the last event that the caller has received.
 	lastEventID string
+	// softwareVersions are the versions that may run the request, in order of preference.
+	// It is nil if all may.
+	softwareVersions []string
+	// recordVersion means that the version that begins the stream must be recorded.
+	recordVersion bool
 }
 
 // Run runs the request and responds to the caller. It returns when the response is
@@ -188,6 +193,10 @@
 		x.refuse(reasonPartCrashesEngines, 0)
 		return
 	}
+	if reason := x.pinSoftwareVersion(ctx); reason != "" {
+		x.refuse(reason, refusalRetryAfter)
+		return
+	}
 	for {
 		choice, verdict := x.waitForEndpoint(ctx)
 		if x.condemned {
@@ -362,8 +371,12 @@
 }
 
 func (x *execution) selectionRequest() *selection.Request {
+	softwareVersion := ""
+	if len(x.softwareVersions) > 0 {
+		softwareVersion = x.softwareVersions[0]
+	}
 	return &selection.Request{
-		Service: x.req.Service, Prompt: x.req.Prompt, CacheNamespace: x.req.teamNamespace(), Exclude: x.excluded,
+		SoftwareVersion: softwareVersion, Service: x.req.Service, Prompt: x.req.Prompt, CacheNamespace: x.req.teamNamespace(), Exclude: x.excluded,
 		Repeatable: x.req.Route.Repeatable(), MovedForWeightsChange: x.lastResult.kind == resultMoved,
 		AllowExpiredWeights: x.relay.directory.StoreUnreachableForAll(),
 	}
@@ -379,6 +392,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c, ok := r.selector.Select(r.now(), time.Now(), v, request)
+	for i := 1; !ok && i < len(x.softwareVersions); i++ {
+		request.SoftwareVersion = x.softwareVersions[i]
+		c, ok = r.selector.Select(r.now(), time.Now(), v, request)
+	}
 	if !ok {
 		return c, overload.Wait
 	}
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/arbutusline/arbutusline/modules/admin"
 	"github.com/arbutusline/arbutusline/modules/directory"
 	"github.com/arbutusline/arbutusline/modules/node"
+	"github.com/arbutusline/arbutusline/modules/streamversions"
 	"github.com/arbutusline/arbutusline/modules/upstream"
 	"github.com/arbutusline/arbutusline/platform"
 	"github.com/arbutusline/arbutusline/settings"
@@ -65,6 +66,7 @@
 	log       *logrus.Entry
 	directory *directory.Directory
 	upstream  *upstream.Client
+	versions  *streamversions.StreamVersions
 	zone      string
 	routerID  string
 	// clockOrigin is the origin of the times that now returns.
@@ -131,6 +133,9 @@
 	if r.upstream, err = arbutusline.Lookup[*upstream.Client](k, upstream.Name); err != nil {
 		return err
 	}
+	if r.versions, err = arbutusline.Lookup[*streamversions.StreamVersions](k, streamversions.Name); err != nil {
+		return err
+	}
 	n, err := arbutusline.Lookup[*node.Node](k, node.Name)
 	if err != nil {
 		return err
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -228,6 +228,7 @@
 		if a.alreadySent(event.ID) {
 			continue
 		}
+		a.fixSoftwareVersion()
 		a.sendHeader(response)
 		if _, err := a.w.Write(event.Raw); err != nil {
 			return result{kind: resultCallerDisconnected, err: err}
--- a/modules/streamversions/streamversions.go
+++ b/modules/streamversions/streamversions.go
@@ -36,8 +36,10 @@
 	// outageSpreadTime is the time in which routers tell all others of a change that they
 	// learned of before the store was lost: several rounds of exchanges.
 	outageSpreadTime = time.Second
-	// minChangeInterval bounds the writes of a table while endpoints are replaced.
+	// minChangeInterval and minPruneInterval bound the writes of a table while endpoints are
+	// replaced and after that.
 	minChangeInterval = time.Second
+	minPruneInterval  = 3 * time.Second
 	// proposeInterval is the time between two checks of the tables.
 	proposeInterval = 100 * time.Millisecond
 	// rankDelay is the time for which routers of lower ranks have the first chance to
@@ -182,7 +184,8 @@
 		s := v.services[name]
 		if s == nil {
 			s = &service{name: name, machine: versionpin.NewMachine(versionpin.Config{
-				SpreadTime: spreadTime, OutageSpreadTime: outageSpreadTime, MinChangeInterval: minChangeInterval,
+				SpreadTime: spreadTime, OutageSpreadTime: outageSpreadTime,
+				MinChangeInterval: minChangeInterval, MinPruneInterval: minPruneInterval,
 			})}
 			v.services[name] = s
 		}
