Play several software versions and take-ups of broken streams in the soak

Engines restart with other software versions, callers take up broken streams at any router, and the history finds streams with events of two versions, over all calls that took them up.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +25,8 @@
 	// callDeadline is the deadline that callers send in the Deadline-Ms header; they
 	// wait twice as long.
 	callDeadline = 3 * time.Second
+	// takeUpPause is the longest pause before a caller takes up a broken stream.
+	takeUpPause = 200 * time.Millisecond
 	// earlyClosePercent is the share of streams that the caller closes early.
 	earlyClosePercent = 5
 )
@@ -74,7 +77,8 @@
 	}
 }
 
-// makeCall makes one random call and records it in the history.
+// makeCall makes one random call and records it in the history. If a resumable stream breaks,
+// it takes the stream up until it is complete or the deadline has passed.
 func (d *deployment) makeCall(client *http.Client, r *router, rng *rand.Rand, id string) {
 	kind := callKinds[rng.IntN(len(callKinds))]
 	c := Call{ID: id, Kind: kind.kind, Team: "open", Router: r.name, StartedAt: d.elapsed()}
@@ -82,28 +86,54 @@
 	if rng.IntN(3) == 0 {
 		c.Team, key = "walled", "key-2"
 	}
-	stream := kind.kind == ResumableStream || kind.kind == SingleEndpointStream
 	closeAfterEvents := 0
-	if stream && rng.IntN(100) < earlyClosePercent {
+	if c.isStream() && rng.IntN(100) < earlyClosePercent {
 		closeAfterEvents = 1 + rng.IntN(eventsPerStream-1)
 	}
-	request, err := http.NewRequest(kind.method, "http://"+r.ip+":8000"+kind.path, strings.NewReader("body of "+id))
+	parts := fmt.Sprintf("5c1e07a2:800,91bd3f%02x:410,%x:250", rng.IntN(8), rng.Uint32())
+	begunAt := time.Now()
+	for n := 1; ; n++ {
+		d.send(client, r, &c, kind.method, kind.path, key, parts, closeAfterEvents)
+		if c.Kind != ResumableStream || c.Complete || c.ClosedByCaller || c.lastEvent() == 0 || time.Since(begunAt) > callDeadline {
+			return
+		}
+		time.Sleep(time.Duration(rng.Int64N(int64(takeUpPause))))
+		if r = d.routers[rng.IntN(len(d.routers))]; !r.isInRotation() {
+			continue
+		}
+		next := Call{ID: fmt.Sprintf("%s-r%d", id, n), Kind: c.Kind, Team: c.Team, Router: r.name, StartedAt: d.elapsed(), Resumes: id, AfterEvent: c.lastEvent()}
+		c = next
+	}
+}
+
+func (c *Call) isStream() bool { return c.Kind == ResumableStream || c.Kind == SingleEndpointStream }
+
+// lastEvent returns the last event of the stream that the caller has, or 0.
+func (c *Call) lastEvent() int { return c.AfterEvent + len(c.EventIDs) }
+
+// send makes a call and records it in the history.
+func (d *deployment) send(client *http.Client, r *router, c *Call, method, path, key, parts string, closeAfterEvents int) {
+	request, err := http.NewRequest(method, "http://"+r.ip+":8000"+path, strings.NewReader("body of "+c.ID))
 	if err != nil {
 		d.t.Error(err)
 		return
 	}
 	request.Host = platform.SampleHostname
-	request.Header.Set("Request-Id", id)
+	request.Header.Set("Request-Id", c.ID)
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(callDeadline.Milliseconds(), 10))
 	request.Header.Set("Authorization", "Token "+key)
-	if stream {
+	if c.isStream() {
 		request.Header.Set("Model", "m")
 		request.Header.Set("Token-Count", "1460,80")
-		request.Header.Set("Prefix-Hash", fmt.Sprintf("5c1e07a2:800,91bd3f%02x:410,%x:250", rng.IntN(8), rng.Uint32()))
+		request.Header.Set("Prefix-Hash", parts)
+	}
+	if c.Resumes != "" {
+		request.Header.Set("Resumes", c.Resumes)
+		request.Header.Set("Last-Event-Id", strconv.Itoa(c.AfterEvent))
 	}
 	if response, err := client.Do(request); err == nil {
 		c.Status = response.StatusCode
-		if stream && c.Status == http.StatusOK {
+		if c.isStream() && c.Status == http.StatusOK {
 			c.readEvents(response.Body, closeAfterEvents)
 		} else if text, err := io.ReadAll(response.Body); err == nil {
 			c.Body, c.Complete = string(text), true
@@ -113,7 +143,7 @@
 	c.EndedAt = d.elapsed()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.history.Calls = append(d.history.Calls, c)
+	d.history.Calls = append(d.history.Calls, *c)
 }
 
 // readEvents reads the event ids of a stream to its end. If closeAfterEvents is
@@ -122,6 +152,9 @@
 	reader := bufio.NewReader(body)
 	for {
 		line, err := reader.ReadString('\n')
+		if _, version, ok := strings.Cut(strings.TrimSuffix(line, "\n"), " of "); ok && err == nil && strings.HasPrefix(line, "data: ") && !slices.Contains(c.SoftwareVersions, version) {
+			c.SoftwareVersions = append(c.SoftwareVersions, version)
+		}
 		if id, ok := strings.CutPrefix(strings.TrimSuffix(line, "\n"), "id: "); ok && err == nil {
 			n, numberErr := strconv.Atoi(id)
 			if numberErr != nil {
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -77,6 +77,8 @@
 	history              History
 	configurationVersion int
 	weightsVersion       uint64
+	// softwareReleases is the number of software versions of the engines so far.
+	softwareReleases int
 }
 
 // router is a router process. Its connections to the store, and the connections of
@@ -110,7 +112,8 @@
 	interruptMu sync.Mutex
 	mu          sync.Mutex
 	// incarnations holds all incarnations; the last one is current.
-	incarnations []*platform.Endpoint
+	incarnations    []*platform.Endpoint
+	softwareVersion string
 }
 
 // newDeployment starts a deployment and waits until all routers are ready. Deployments
@@ -201,7 +204,7 @@
 // startEndpoint starts an endpoint and registers it in the store. An empty model makes
 // it an endpoint of the plain service.
 func (d *deployment) startEndpoint(name, model string) *endpoint {
-	e := &endpoint{deployment: d, name: name}
+	e := &endpoint{deployment: d, name: name, softwareVersion: "v1"}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.current().ServeHTTP(w, r) }))
 	d.t.Cleanup(server.Close)
 	e.proxy = d.startProxy("127.0.0.1:0", strings.TrimPrefix(server.URL, "http://"))
@@ -223,7 +226,7 @@
 	defer e.mu.Unlock()
 	incarnation := &platform.Endpoint{
 		ID: fmt.Sprintf("%s.%d", e.name, len(e.incarnations)), Service: "app", Model: model,
-		StreamEvents: eventsPerStream, EventInterval: streamEventInterval, WeightsLoadTime: 100 * time.Millisecond,
+		SoftwareVersion: e.softwareVersion, StreamEvents: eventsPerStream, EventInterval: streamEventInterval, WeightsLoadTime: 100 * time.Millisecond,
 	}
 	if model != "" {
 		incarnation.Service = "llm"
@@ -251,6 +254,18 @@
 	e.publishState("ready")
 }
 
+// release makes the next incarnation of the endpoint one of a software version: every other
+// time a new one, else the newest.
+func (e *endpoint) release() {
+	e.deployment.mu.Lock()
+	e.softwareReleases++
+	version := fmt.Sprintf("v%d", 2+e.softwareReleases/2)
+	e.deployment.mu.Unlock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.softwareVersion = version
+}
+
 // collectHistory adds the records of all endpoints to the history and returns it.
 func (d *deployment) collectHistory() *History {
 	d.mu.Lock()
--- a/soak/history.go
+++ b/soak/history.go
@@ -39,6 +39,12 @@
 	Complete bool
 	Body     string
 	EventIDs []int
+	// SoftwareVersions are the distinct versions of the endpoints that made the events.
+	SoftwareVersions []string
+	// Resumes is the ID of the call that began the stream, and AfterEvent the last event
+	// that the caller had, for a call that takes up a broken stream.
+	Resumes    string
+	AfterEvent int
 	// ClosedByCaller means that the caller closed the stream early on purpose.
 	ClosedByCaller bool
 }
@@ -99,6 +105,7 @@
 	for i := range h.Calls {
 		violations = append(violations, h.checkCall(&h.Calls[i], executionsByCall[h.Calls[i].ID])...)
 	}
+	violations = append(violations, h.checkSoftwareVersions()...)
 	violations = append(violations, h.checkCacheNamespaces()...)
 	violations = append(violations, h.checkFencingTokens()...)
 	violations = append(violations, h.checkServedVersions()...)
@@ -130,8 +137,8 @@
 			report("%s", problem)
 		}
 	}
-	if !isConsecutiveFromOne(c.EventIDs) {
-		report("event ids %v are not consecutive from 1", c.EventIDs)
+	if !isConsecutiveAfter(c.AfterEvent, c.EventIDs) {
+		report("event ids %v are not consecutive from %d", c.EventIDs, c.AfterEvent+1)
 	}
 	if !c.ClosedByCaller && !isExpectedOutcome(c) && !h.explainedByFault(c) {
 		report("status %d, complete %t, with no fault that explains it", c.Status, c.Complete)
@@ -154,16 +161,16 @@
 		}
 		return ""
 	}
-	if len(c.EventIDs) != h.EventsPerStream {
-		return fmt.Sprintf("stream ended without an error after %d of %d events", len(c.EventIDs), h.EventsPerStream)
+	if events := c.AfterEvent + len(c.EventIDs); events != h.EventsPerStream {
+		return fmt.Sprintf("stream ended without an error after %d of %d events", events, h.EventsPerStream)
 	}
 	return ""
 }
 
-// isConsecutiveFromOne reports whether the event ids are 1, 2, 3 and so on.
-func isConsecutiveFromOne(events []int) bool {
+// isConsecutiveAfter reports whether the event ids are those that follow an event.
+func isConsecutiveAfter(event int, events []int) bool {
 	for i, e := range events {
-		if e != i+1 {
+		if e != event+i+1 {
 			return false
 		}
 	}
@@ -196,6 +203,30 @@
 	return false
 }
 
+// checkSoftwareVersions finds streams whose events, over all calls that took them up, were
+// made by endpoints of several software versions.
+func (h *History) checkSoftwareVersions() []string {
+	var violations []string
+	versions := map[string][]string{}
+	for i := range h.Calls {
+		c := &h.Calls[i]
+		stream := c.ID
+		if c.Resumes != "" {
+			stream = c.Resumes
+		}
+		for _, v := range c.SoftwareVersions {
+			if !slices.Contains(versions[stream], v) {
+				versions[stream] = append(versions[stream], v)
+			}
+		}
+		if len(versions[stream]) > 1 {
+			violations = append(violations, fmt.Sprintf("stream %s has events of the software versions %v after call %s to %s at %s", stream, versions[stream], c.ID, c.Router, c.StartedAt))
+			versions[stream] = versions[stream][:1]
+		}
+	}
+	return violations
+}
+
 // checkCacheNamespaces finds cache namespaces shared by several weights versions, or
 // by an isolated team and another team.
 func (h *History) checkCacheNamespaces() []string {
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -19,11 +19,14 @@
 			{ID: "n", Kind: SingleEndpointStream, Router: "r2", Status: 503},
 			{ID: "c", Kind: SingleEndpointStream, Router: "r2", Status: 200, EventIDs: []int{1}, ClosedByCaller: true},
 			{ID: "f", Kind: NonIdempotentCall, Router: "r2", Status: 502, StartedAt: time.Minute, EndedAt: time.Minute},
+			{ID: "b", Kind: ResumableStream, Router: "r2", Status: 200, EventIDs: []int{1}, SoftwareVersions: []string{"v1"}, ClosedByCaller: true, StartedAt: time.Minute, EndedAt: time.Minute},
+			{ID: "b2", Kind: ResumableStream, Router: "r1", Status: 200, Complete: true, Resumes: "b", AfterEvent: 1, EventIDs: []int{2, 3}, SoftwareVersions: []string{"v1"}, StartedAt: time.Minute, EndedAt: time.Minute},
 		},
 		Executions: []Execution{
 			{CallID: "u", Endpoint: "a"}, {CallID: "l", Endpoint: "a"}, {CallID: "l", Endpoint: "b"}, {CallID: "c", Endpoint: "e"},
 			{CallID: "s", Team: "open", Endpoint: "e", CacheNamespace: "1/", WeightsVersion: 1},
 			{CallID: "f", Team: "walled", IsolatedTeam: true, Endpoint: "e", CacheNamespace: "1/walled", WeightsVersion: 1},
+			{CallID: "b", Endpoint: "e"}, {CallID: "b2", Endpoint: "e"},
 		},
 		WeightsOrders:  []WeightsOrder{{"e", "h1", 1}, {"e", "h2", 2}, {"d", "h1", 1}},
 		ServedVersions: []ServedVersion{{"r1", 1, 3}, {"r1", 1, 4}, {"r1", 2, 3}, {"r2", 1, 1}},
@@ -67,6 +70,10 @@
 		{"fencing token decreases", "fencing token 1 after 2", func(h *History) { h.WeightsOrders = append(h.WeightsOrders, WeightsOrder{"e", "h1", 1}) }},
 		{"two lease holders use a fencing token", "used by lease holders h2 and h3", func(h *History) { h.WeightsOrders = append(h.WeightsOrders, WeightsOrder{"d", "h3", 2}) }},
 		{"older configuration served", "configuration 3 after 4", func(h *History) { h.ServedVersions = append(h.ServedVersions, ServedVersion{"r1", 1, 3}) }},
+		{"take-up of another version", "software versions [v1 v2]", func(h *History) { h.Calls[7].SoftwareVersions = []string{"v2"} }},
+		{"two versions in one response", "software versions [v1 v2]", func(h *History) { h.Calls[2].SoftwareVersions = []string{"v1", "v2"} }},
+		{"take-up repeats an event", "not consecutive from 2", func(h *History) { h.Calls[7].EventIDs, h.Calls[7].Complete = []int{1, 2, 3}, false }},
+		{"take-up ends early", "after 2 of 3 events", func(h *History) { h.Calls[7].EventIDs = []int{2} }},
 		{"process exits", "exited unexpectedly: r1", func(h *History) { h.UnexpectedExits = []string{"r1"} }},
 	}
 	for _, c := range cases {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -192,6 +192,9 @@
 		if e.interruptMu.TryLock() {
 			defer e.interruptMu.Unlock()
 			d.recordFault("restart of "+e.name, "", false, duration)
+			if target%2 == 0 {
+				e.release()
+			}
 			e.restart(duration)
 		}
 	},
