Refuse what cannot end before a planned stop, and answer what was sent

Reported by an operator of a similar system, and possible here: a request that came late in the grace of a planned stop was sent on with the caller's whole deadline, and cut at the end without an answer, also one that may not be repeated.

While the process stops, a request that may not be repeated is refused as not run if its caller waits for longer than the process lives, others if the longest recent request of their route took longer than what is left; this holds for those that wait for an endpoint, too. Endpoints get no more time than is left. .3 s before the end what still runs is ended with an answer: 504 if it may have run, 503 if not.

--- a/cmd/arbutus-front/cluster_test.go
+++ b/cmd/arbutus-front/cluster_test.go
@@ -34,6 +34,8 @@
 	relaySettings string
 	// eraWait is how long a router that starts asks the others for their configuration.
 	eraWait string
+	// linger is how long a router that stops still accepts connections.
+	linger string
 }
 
 type testRouter struct {
@@ -46,7 +48,7 @@
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, store: &platform.Store{}, endpointServers: map[string]*httptest.Server{}, logs: &logChecker{t: t, loggedMessages: map[string]bool{}}, eraWait: "100ms"}
+	c := &cluster{t: t, store: &platform.Store{}, endpointServers: map[string]*httptest.Server{}, logs: &logChecker{t: t, loggedMessages: map[string]bool{}}, eraWait: "100ms", linger: "200ms"}
 	c.putConfiguration(1, nil)
 	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 1})
 	return c
@@ -106,8 +108,8 @@
 		"directory": {"store": %q, "advertise": "%s:%s", "era_wait": %q},
 		"upgrade": {"holder": %q, "turn_pause": "300ms"},
 		"relay": {%s},
-		"ingress": {"listen": "%s:%s", "linger": "200ms", "start_wait": "30s"}
-	}`, routerNumber, r.ip, ports[1], r.ip, ports[2], storeAddress, r.ip, ports[2], c.eraWait, r.ip, c.relaySettings, r.ip, ports[0])
+		"ingress": {"listen": "%s:%s", "linger": %q, "start_wait": "30s"}
+	}`, routerNumber, r.ip, ports[1], r.ip, ports[2], storeAddress, r.ip, ports[2], c.eraWait, r.ip, c.relaySettings, r.ip, ports[0], c.linger)
 	file, err := settings.Parse([]byte(text))
 	assert.NilError(c.t, err)
 	log := logrus.New()
--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -47,6 +47,9 @@
 	// configurationPollInterval is the time between two checks for the first
 	// configuration.
 	configurationPollInterval = 10 * time.Millisecond
+	// answerMargin is the time before the end of a shutdown by which the last requests get
+	// their answers.
+	answerMargin = 300 * time.Millisecond
 	// noConfigurationRetryAfter is the Retry-After of requests refused because the
 	// router has no configuration yet.
 	noConfigurationRetryAfter = 300 * time.Millisecond
@@ -151,6 +154,9 @@
 		return nil
 	}
 	g.stopping.Store(true)
+	if end, ok := ctx.Deadline(); ok {
+		g.relay.BeginStop(end.Add(-answerMargin))
+	}
 	t := time.NewTimer(g.ShutdownDelay.AsDuration())
 	defer t.Stop()
 	select {
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -161,6 +161,9 @@
 	r.recordFirstAttempt(req.Service)
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer r.endAtStop(end)()
 	x.runAttempts(ctx)
 	r.metrics.requests.WithLabelValues(routeKindLabel(req.Route), string(x.report.Outcome)).Inc()
 	return x.report
@@ -203,6 +206,10 @@
 			x.respondCondemned(ctx)
 			return
 		}
+		if x.cannotEndInTime() && verdict != overload.Start {
+			x.refuse(reasonShuttingDown, stoppingRetryAfter)
+			return
+		}
 		switch verdict {
 		case overload.Start:
 		case overload.Wait:
@@ -246,6 +253,9 @@
 // setOutcome sets the outcome of a request that completed or whose caller disconnected.
 func (x *execution) setOutcome() {
 	x.report.Outcome = OutcomeServed
+	if x.lastResult.kind == resultDone {
+		x.relay.observeDuration(x.req)
+	}
 	if x.lastResult.kind == resultCallerDisconnected {
 		x.report.Outcome, x.report.Incomplete = OutcomeCallerDisconnected, true
 	} else if x.lastResult.status >= http.StatusInternalServerError {
@@ -359,7 +369,7 @@
 	if x.mayHaveRunCount > 0 {
 		limit = selectWaitAfterRun
 	}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !x.cannotEndInTime() {
 		held := time.Since(waitingSince)
 		c, verdict := x.selectEndpoint(held)
 		if verdict != overload.Wait || held+c.ThrottledFor > limit || x.condemned {
@@ -428,7 +438,7 @@
 
 func (x *execution) routerHeaderValues(c selection.Choice) *platform.RouterHeaderValues {
 	values := &platform.RouterHeaderValues{
-		EndpointID: c.Endpoint.ID, Team: x.req.teamName(), RemainingTime: time.Until(x.req.Deadline), LastEventID: x.lastEventID,
+		EndpointID: c.Endpoint.ID, Team: x.req.teamName(), RemainingTime: x.remainingTime(), LastEventID: x.lastEventID,
 		Priority: x.req.priority(), HasPriority: x.req.Prompt != nil,
 	}
 	if x.req.Prompt != nil {
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -79,7 +80,14 @@
 	// connections.
 	kvCacheStoreUnreachable bool
 
+	// stopAt is when requests are ended because the process stops, or nil. requestsCtx ends
+	// then.
+	stopAt      atomic.Pointer[time.Time]
+	requestsCtx context.Context
+	endRequests context.CancelFunc
+
 	mu           sync.Mutex
+	durations    durations
 	selector     *selection.Selector
 	crashReports *strikes.Table
 	suspects     *poison.Table
@@ -121,7 +129,8 @@
 	r.crashReports, r.retryBudgets, r.remoteLoads = strikes.New(), map[string]*budget.RetryBudget{}, map[string]remoteLoad{}
 	r.loggedBudgets, r.overloadControllers = map[string]loggedBudget{}, map[string]*overload.Controller{}
 	r.runningAttempts, r.fetchingStatus = map[string]map[*attempt]bool{}, map[string]bool{}
-	r.suspects = poison.New(poison.Config{})
+	r.suspects, r.durations = poison.New(poison.Config{}), durations{}
+	r.requestsCtx, r.endRequests = context.WithCancel(context.Background())
 	r.initContext()
 	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
 	if err != nil {
--- a/modules/relay/respond.go
+++ b/modules/relay/respond.go
@@ -41,7 +41,7 @@
 func (x *execution) respondFailure(ctx context.Context, reason string) {
 	x.report.Reason = reason
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && !endedByStop(ctx):
 		x.report.Outcome, x.report.Incomplete = OutcomeCallerDisconnected, true
 	case x.headerSent:
 		x.report.Outcome, x.report.Incomplete = OutcomeInterrupted, true
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -149,7 +149,9 @@
 // resultOfError returns the result of an attempt whose HTTP request failed with err.
 func (a *attempt) resultOfError(ctx context.Context, err error) result {
 	switch {
-	case errors.Is(a.requestCtx.Err(), context.Canceled), errors.Is(err, upstream.ErrAbandoned) && a.req.CallerLeft != nil && a.req.CallerLeft():
+	case endedByStop(a.requestCtx) && !errors.Is(err, upstream.ErrNotSent):
+		return result{kind: resultTimeout, err: errStopping}
+	case !endedByStop(a.requestCtx) && errors.Is(a.requestCtx.Err(), context.Canceled), errors.Is(err, upstream.ErrAbandoned) && a.req.CallerLeft != nil && a.req.CallerLeft():
 		return result{kind: resultCallerDisconnected, err: err}
 	case errors.Is(err, upstream.ErrNotSent) && a.req.deadlinePassed():
 		return result{kind: resultExpired, err: err}
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -35,6 +35,8 @@
 	// them.
 	StreamEvents  int
 	EventInterval time.Duration
+	// ResponseDelay is the time that a plain service takes to answer.
+	ResponseDelay time.Duration
 	// WeightsLoadTime is the time that loading new weights takes.
 	WeightsLoadTime time.Duration
 	// Queue holds requests for the model until it is closed, if it is not nil. A request
@@ -346,6 +348,11 @@
 		e.serveStream(rw, r, fault)
 		return
 	}
+	select {
+	case <-time.After(e.ResponseDelay):
+	case <-r.Context().Done():
+		return
+	}
 	text := "answer to " + id
 	if fault == FaultTruncatedResponse {
 		rw.Header().Set("Content-Length", strconv.Itoa(len(text)+10))
