Estimate durations by mean and deviation before a planned stop

The estimate is now that of RFC 6298. Records of streams are written less often in deployments of more than 100 routers, so that all together make at most 400 writes a second.

--- a/modules/relay/stopping.go
+++ b/modules/relay/stopping.go
@@ -16,9 +16,6 @@
 	// stoppingRetryAfter is the Retry-After of these refusals. Other routers serve the
 	// request at once.
 	stoppingRetryAfter = 50 * time.Millisecond
-	// durationWindow is the time after which the longest duration of a route's requests is
-	// forgotten, at the latest after twice that.
-	durationWindow = 20 * time.Second
 )
 
 var errStopping = errors.New("process stops")
@@ -51,7 +48,7 @@
 
 // cannotEndInTime reports whether the request must be refused because the process stops
 // before the request is expected to end. One that may not be repeated gets all the time that
-// its caller waits, others that which requests of their route took lately.
+// its caller waits, others that which few requests of their route exceed.
 func (x *execution) cannotEndInTime() bool {
 	left, stopping := x.relay.untilStop()
 	if !stopping || x.mayHaveRunCount > 0 || x.headerSent {
@@ -62,7 +59,7 @@
 	}
 	x.relay.mu.Lock()
 	defer x.relay.mu.Unlock()
-	return min(time.Until(x.req.Deadline), x.relay.durations.longest(x.relay.now(), x.req.Route.Name)) > left
+	return min(time.Until(x.req.Deadline), x.relay.durations.bound(x.req.Route.Name)) > left
 }
 
 // remainingTime is the time that an endpoint gets for the request.
@@ -77,41 +74,31 @@
 func (r *Relay) observeDuration(req *Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.durations.observe(r.now(), req.Route.Name, time.Since(req.ArrivedAt))
+	r.durations.observe(req.Route.Name, time.Since(req.ArrivedAt))
 }
 
-// durations has the longest recent duration of complete requests by route.
-type durations map[string]*longestDuration
+// durations estimates how long requests take, by route.
+type durations map[string]*durationEstimate
 
-type longestDuration struct {
-	since             time.Duration
-	current, previous time.Duration
-}
+// durationEstimate has the moving average of a duration and of its deviation, with the
+// weights of RFC 6298.
+type durationEstimate struct{ mean, deviation time.Duration }
 
-func (d durations) observe(now time.Duration, route string, took time.Duration) {
-	l := d[route]
-	if l == nil {
-		l = &longestDuration{since: now}
-		d[route] = l
+func (d durations) observe(route string, took time.Duration) {
+	e := d[route]
+	if e == nil {
+		d[route] = &durationEstimate{took, took / 2}
+		return
 	}
-	l.rotate(now)
-	l.current = max(l.current, took)
+	e.deviation += ((took - e.mean).Abs() - e.deviation) / 4
+	e.mean += (took - e.mean) / 8
 }
 
-func (d durations) longest(now time.Duration, route string) time.Duration {
-	l := d[route]
-	if l == nil {
+// bound returns a duration that few requests of a route exceed, or 0 if none is known.
+func (d durations) bound(route string) time.Duration {
+	e := d[route]
+	if e == nil {
 		return 0
 	}
-	l.rotate(now)
-	return max(l.current, l.previous)
-}
-
-func (l *longestDuration) rotate(now time.Duration) {
-	switch age := now - l.since; {
-	case age >= 2*durationWindow:
-		l.since, l.current, l.previous = now, 0, 0
-	case age >= durationWindow:
-		l.since, l.current, l.previous = l.since+durationWindow, 0, l.current
-	}
+	return e.mean + 4*e.deviation
 }
--- a/modules/streamversions/records.go
+++ b/modules/streamversions/records.go
@@ -16,9 +16,12 @@
 const KindRecords = "arbutus-streams"
 
 const (
-	// flushInterval is the time between two writes of new records. Streams that begin
-	// within it of the death of all routers are not continued.
-	flushInterval = 250 * time.Millisecond
+	// minFlushInterval is the time between two writes of new records. Streams that begin
+	// within it of the death of all routers are not continued. flushIntervalPerRouter makes
+	// it longer in large deployments: all routers together make at most 400 writes a
+	// second, the lowest rate that the platform gives.
+	minFlushInterval       = 250 * time.Millisecond
+	flushIntervalPerRouter = 2500 * time.Microsecond
 	// maxRecords bounds the size of a router's object to about 64 kB. It is the number of
 	// streams that a router begins at 200 a second while it keeps them.
 	maxRecords = 6000
@@ -35,7 +38,7 @@
 
 func (v *StreamVersions) flushPeriodically() {
 	for v.ctx.Err() == nil {
-		wait.ForJittered(v.ctx, flushInterval)
+		wait.ForJittered(v.ctx, max(minFlushInterval, time.Duration(v.directory.RouterCount())*flushIntervalPerRouter))
 		v.mu.Lock()
 		v.records.Expire(now())
 		changed := v.records.TakeChanged()
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -94,15 +94,19 @@
 	begunAt := time.Now()
 	for n := 1; ; n++ {
 		d.send(client, r, &c, kind.method, kind.path, key, parts, closeAfterEvents)
-		if c.Kind != ResumableStream || c.Complete || c.ClosedByCaller || c.lastEvent() == 0 || time.Since(begunAt) > callDeadline {
+		if c.Kind != ResumableStream || c.Complete || c.ClosedByCaller || c.lastEvent() == 0 {
 			return
 		}
-		time.Sleep(time.Duration(rng.Int64N(int64(takeUpPause))))
-		if r = d.routers[rng.IntN(len(d.routers))]; !r.isInRotation() {
-			continue
+		for r = nil; r == nil; {
+			if time.Since(begunAt) > callDeadline {
+				return
+			}
+			time.Sleep(time.Duration(rng.Int64N(int64(takeUpPause))))
+			if candidate := d.routers[rng.IntN(len(d.routers))]; candidate.isInRotation() {
+				r = candidate
+			}
 		}
-		next := Call{ID: fmt.Sprintf("%s-r%d", id, n), Kind: c.Kind, Team: c.Team, Router: r.name, StartedAt: d.elapsed(), Resumes: id, AfterEvent: c.lastEvent()}
-		c = next
+		c = Call{ID: fmt.Sprintf("%s-r%d", id, n), Kind: c.Kind, Team: c.Team, Router: r.name, StartedAt: d.elapsed(), Resumes: id, AfterEvent: c.lastEvent()}
 	}
 }
 
