Prune a table of software versions before its versions are replaced

A table names seven versions; with more within the lifetime of a stream, a new one takes the index of one without endpoints. If the same change also removed versions whose streams had ended, a slot that was assigned to the replaced index kept only the new version: streams of the old one were told to be of the new one.

A router out of touch begins streams for 10 s instead of 5 s: one whose peers are dead goes on during most outages of the store.

--- a/decision/versionpin/machine.go
+++ b/decision/versionpin/machine.go
@@ -233,11 +233,12 @@
 	next.Era = m.era
 	changed := m.stored == nil || m.stored.Era < m.era
 	unchangedFor := now - m.lastChangeAt
-	if must, atOnce := m.mustShift(c.Capacity); must && (unchangedFor >= m.cfg.MinChangeInterval || atOnce) {
-		next.assign(c.Capacity)
+	// Only the table in force tells which slots may be pruned, so that this comes first.
+	if unchangedFor >= m.cfg.MinPruneInterval && m.prune(now, next) {
 		changed = true
 	}
-	if unchangedFor >= m.cfg.MinPruneInterval && m.prune(now, next) {
+	if must, atOnce := m.mustShift(c.Capacity); must && (unchangedFor >= m.cfg.MinChangeInterval || atOnce) {
+		next.assign(c.Capacity)
 		changed = true
 	}
 	return Proposal{next, m.position}, changed
@@ -263,13 +264,12 @@
 	return must, atOnce
 }
 
-// prune removes from the slots of a table the versions whose streams have all ended. It
-// reports whether there are any.
+// prune removes from the slots of a copy of the table in force the versions whose streams
+// have all ended. It reports whether there are any.
 func (m *Machine) prune(now time.Duration, t *Table) bool {
 	pruned := false
 	for slot := range Slots {
-		moves := t.current[slot] != m.table.current[slot]
-		if !moves && !m.table.certain(slot) && now-m.settledSince[slot] >= m.cfg.StreamLifetime+m.cfg.SpreadTime {
+		if !m.table.certain(slot) && now-m.settledSince[slot] >= m.cfg.StreamLifetime+m.cfg.SpreadTime {
 			t.possible[slot] = 1 << t.current[slot]
 			pruned = true
 		}
--- a/modules/streamversions/streamversions.go
+++ b/modules/streamversions/streamversions.go
@@ -31,8 +31,9 @@
 const (
 	// defaultStreamLifetime applies if no resumable route states a timeout.
 	defaultStreamLifetime = 30 * time.Second
-	// spreadTime is several times the time in which a change reaches all routers.
-	spreadTime = 5 * time.Second
+	// spreadTime is longer than most outages of the store, in which a router whose peers are
+	// dead goes on to begin streams.
+	spreadTime = 10 * time.Second
 	// outageSpreadTime is the time in which routers tell all others of a change that they
 	// learned of before the store was lost: several rounds of exchanges.
 	outageSpreadTime = time.Second
