--- a/modules/streamversions/records.go
+++ b/modules/streamversions/records.go
@@ -16,12 +16,13 @@
 const KindRecords = "arbutus-streams"
 
 const (
-	// minFlushInterval is the time between two writes of new records. Streams that begin
-	// within it of the death of all routers are not continued. flushIntervalPerRouter makes
-	// it longer in large deployments: all routers together make at most 400 writes a
-	// second, the lowest rate that the platform gives.
+	// flushIntervalPerRouter times the number of routers is the time between two writes of
+	// new records, so that all routers together make 100 writes a second, a quarter of the
+	// lowest rate that the platform gives; minFlushInterval and maxFlushInterval bound it.
+	// Streams that begin within it of the death of their router are not continued.
+	flushIntervalPerRouter = 10 * time.Millisecond
 	minFlushInterval       = 250 * time.Millisecond
-	flushIntervalPerRouter = 2500 * time.Microsecond
+	maxFlushInterval       = time.Second
 	// maxRecords bounds the size of a router's object to about 64 kB. It is the number of
 	// streams that a router begins at 200 a second while it keeps them.
 	maxRecords = 6000
@@ -38,7 +39,7 @@
 
 func (v *StreamVersions) flushPeriodically() {
 	for v.ctx.Err() == nil {
-		wait.ForJittered(v.ctx, max(minFlushInterval, time.Duration(v.directory.RouterCount())*flushIntervalPerRouter))
+		wait.ForJittered(v.ctx, min(maxFlushInterval, max(minFlushInterval, time.Duration(v.directory.RouterCount())*flushIntervalPerRouter)))
 		v.mu.Lock()
 		v.records.Expire(now())
 		changed := v.records.TakeChanged()
