Register a router as soon as the store has told which routers it knows

Since routers compare their registration with the replica, the first one came up to .3 s after the start, and a router that lost the store right after it was ready knew no other one and was known to none: it suspended the deadline of superseded weights as if no router reached the store.

--- a/modules/directory/registration.go
+++ b/modules/directory/registration.go
@@ -31,15 +31,21 @@
 // removedEndpointGrace.
 const registrationCheckInterval = 250 * time.Millisecond
 
+// firstRegistrationInterval is the time between two checks whether the store has told which
+// routers it knows, before this router registers.
+const firstRegistrationInterval = 10 * time.Millisecond
+
 // maintainRegistration writes the object with this router's address, and writes it again
 // when the store lacks it or has another one. The write is unconditional because only this
 // router writes its object.
 func (d *Directory) maintainRegistration(ctx context.Context) {
+	interval := firstRegistrationInterval
 	for ctx.Err() == nil {
 		if spec, missing := d.missingRegistration(); missing {
 			d.register(ctx, spec)
+			interval = registrationCheckInterval
 		}
-		wait.ForJittered(ctx, registrationCheckInterval)
+		wait.ForJittered(ctx, interval)
 	}
 }
 
