Measure contact with the store and other routers on the boot clock

Whether a router is in touch was told by the time of day, which jumps: a step of some seconds let it begin no streams, or trust a table for too long. The clock that counts suspended time, written twice before, is now internal/bootclock.

--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -16,6 +16,7 @@
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/decision/replica"
 	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/bootclock"
 	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/modules/admin"
 	"github.com/arbutusline/arbutusline/modules/node"
@@ -138,7 +139,8 @@
 	registeredAt fleet.StorePosition
 	// ranBefore is true if the store had this router's object when it started.
 	ranBefore bool
-	// lastContact is when the store or another router last responded.
+	// lastContact is when the store or another router last responded, in nanoseconds of
+	// bootclock.
 	lastContact atomic.Int64
 	// watchRank is this router's rank among the reachableRouters, from 0.
 	watchRank        int
@@ -428,12 +430,12 @@
 }
 
 // ObserveContact records that the store or another router has responded.
-func (d *Directory) ObserveContact() { d.lastContact.Store(time.Now().UnixNano()) }
+func (d *Directory) ObserveContact() { d.lastContact.Store(int64(bootclock.Now())) }
 
 // InTouch reports whether the store or another router has responded within a duration, or
 // whether this router is the only one. It takes no lock.
 func (d *Directory) InTouch(within time.Duration) bool {
-	return d.RouterCount() == 1 || time.Now().UnixNano()-d.lastContact.Load() < int64(within)
+	return d.RouterCount() == 1 || bootclock.Now()-time.Duration(d.lastContact.Load()) < within
 }
 
 // WatchRank returns this router's rank, from 0, among the routers that reach the store.
--- a/modules/streamversions/records.go
+++ b/modules/streamversions/records.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/arbutusline/arbutusline/decision/versionpin"
+	"github.com/arbutusline/arbutusline/internal/bootclock"
 	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/platform"
 )
@@ -33,7 +34,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.records.Len() < maxRecords {
-		v.records.Add(versionpin.StreamHash(serviceName, requestID), version, now()+v.recordLifetime)
+		v.records.Add(versionpin.StreamHash(serviceName, requestID), version, bootclock.Now()+v.recordLifetime)
 	}
 }
 
@@ -41,7 +42,7 @@
 	for v.ctx.Err() == nil {
 		wait.ForJittered(v.ctx, min(maxFlushInterval, max(minFlushInterval, time.Duration(v.directory.RouterCount())*flushIntervalPerRouter)))
 		v.mu.Lock()
-		v.records.Expire(now())
+		v.records.Expire(bootclock.Now())
 		changed := v.records.TakeChanged()
 		v.mu.Unlock()
 		if !changed {
@@ -67,7 +68,7 @@
 		}
 		if err == nil {
 			v.mu.Lock()
-			mergeErr := v.records.Merge(o.Spec, now()+v.recordLifetime)
+			mergeErr := v.records.Merge(o.Spec, bootclock.Now()+v.recordLifetime)
 			v.mu.Unlock()
 			v.logInvalidRecords(v.node.ID, mergeErr)
 		}
--- a/modules/streamversions/streamversions.go
+++ b/modules/streamversions/streamversions.go
@@ -13,11 +13,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/decision/versionpin"
 	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/bootclock"
 	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/modules/admin"
 	"github.com/arbutusline/arbutusline/modules/directory"
@@ -103,7 +103,7 @@
 	v.log = k.Log.WithField("module", Name)
 	v.services, v.records, v.listedRecords = map[string]*service{}, versionpin.NewRecords(), versionpin.NewRecords()
 	v.recordLifetime = defaultStreamLifetime + spreadTime
-	v.startedAt = now()
+	v.startedAt = bootclock.Now()
 	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
 	if err != nil {
 		return err
@@ -150,16 +150,6 @@
 	return nil
 }
 
-// now returns the time on a clock that also counts the time for which the host was
-// suspended.
-func now() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic(errors.Wrap(err, "CLOCK_BOOTTIME")) // Every Linux has this clock.
-	}
-	return time.Duration(ts.Nano())
-}
-
 // checkReady fails while the streams of a service with endpoints cannot begin.
 func (v *StreamVersions) checkReady() error {
 	v.mu.Lock()
@@ -200,7 +190,7 @@
 		}
 		spec, position := v.directory.EntryLocked(directory.KindSoftwareVersions, name)
 		if position.Era > 0 || position.Revision > 0 || v.directory.RoutersKnownLocked() {
-			s.machine.ObserveStored(now(), v.decodeTable(name, spec), position)
+			s.machine.ObserveStored(bootclock.Now(), v.decodeTable(name, spec), position)
 		}
 		v.logTableLocked(s)
 	}
@@ -263,7 +253,7 @@
 		return nil, false
 	}
 	v.observeContactLocked(s, spreadTime)
-	return s.machine.Begin(now(), versionpin.StreamHash(serviceName, requestID))
+	return s.machine.Begin(bootclock.Now(), versionpin.StreamHash(serviceName, requestID))
 }
 
 // propose writes the tables that have to change, if it is this router's turn.
@@ -272,7 +262,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, s := range v.services {
-		t := now()
+		t := bootclock.Now()
 		if s.writing || t < s.notBefore {
 			continue
 		}
@@ -307,11 +297,11 @@
 	defer v.mu.Unlock()
 	s.writing = false
 	if err != nil {
-		s.notBefore = now() + retryDelay
+		s.notBefore = bootclock.Now() + retryDelay
 		v.log.WithError(err).WithFields(logrus.Fields{"service": s.name, "sequence": p.Table.Sequence}).Info("failed to write software versions")
 		return
 	}
-	s.machine.ObserveWritten(now(), p.Table, o.Position())
+	s.machine.ObserveWritten(bootclock.Now(), p.Table, o.Position())
 	v.logTableLocked(s)
 }
 
--- a/modules/streamversions/takeup.go
+++ b/modules/streamversions/takeup.go
@@ -8,6 +8,7 @@
 
 	"github.com/arbutusline/arbutusline/decision/versionpin"
 	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/bootclock"
 	"github.com/arbutusline/arbutusline/modules/directory"
 	"github.com/arbutusline/arbutusline/platform"
 )
@@ -31,7 +32,7 @@
 func (v *StreamVersions) Resume(ctx context.Context, serviceName, requestID string, arrivedAt time.Time) (string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	version, result := v.resume(ctx, serviceName, requestID, now()-time.Since(arrivedAt))
+	version, result := v.resume(ctx, serviceName, requestID, bootclock.Now()-time.Since(arrivedAt))
 	v.takeUps.WithLabelValues(string(result)).Inc()
 	return version, result != notTold
 }
@@ -63,32 +64,32 @@
 	defer v.mu.Unlock()
 	v.observeContactLocked(s, outageSpreadTime)
 	if unnamed {
-		return s.machine.ResumeUnnamed(now(), arrivedAt)
+		return s.machine.ResumeUnnamed(bootclock.Now(), arrivedAt)
 	}
-	return s.machine.Resume(now(), arrivedAt, stream)
+	return s.machine.Resume(bootclock.Now(), arrivedAt, stream)
 }
 
 // observeContactLocked tells the machine if there was contact with the store or another
 // router within a duration. The caller holds mu.
 func (v *StreamVersions) observeContactLocked(s *service, within time.Duration) {
 	if v.directory.InTouch(within) {
-		s.machine.ObserveContact(now())
+		s.machine.ObserveContact(bootclock.Now())
 	}
 }
 
 // readTable reads a service's table from the store.
 func (v *StreamVersions) readTable(s *service) error {
-	begin := now()
+	begin := bootclock.Now()
 	o, err := v.store.Get(v.ctx, directory.KindSoftwareVersions, s.name)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	switch {
 	case err == nil:
-		s.machine.ObserveRead(begin, now(), v.decodeTable(s.name, o.Spec), o.Position())
+		s.machine.ObserveRead(begin, bootclock.Now(), v.decodeTable(s.name, o.Spec), o.Position())
 	case errors.Is(err, platform.ErrNotFound):
-		s.machine.ObserveRead(begin, now(), nil, fleet.StorePosition{Era: o.Era})
+		s.machine.ObserveRead(begin, bootclock.Now(), nil, fleet.StorePosition{Era: o.Era})
 	default:
-		s.machine.ObserveStoreLost(now())
+		s.machine.ObserveStoreLost(bootclock.Now())
 		return err
 	}
 	v.logTableLocked(s)
--- a/modules/upgrade/change.go
+++ b/modules/upgrade/change.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/arbutusline/arbutusline/api/arbutuspb"
+	"github.com/arbutusline/arbutusline/internal/bootclock"
 	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/platform"
 )
@@ -168,7 +169,7 @@
 // of orders that the engine has accepted. sent is false if no order was sent.
 func (u *Upgrade) sendOrder(ctx context.Context, c weightsChange, acceptedOrders uint64) (result orderResult, sent bool) {
 	u.mu.Lock()
-	fencingToken, holds := u.lease.HoldsLease(bootClock())
+	fencingToken, holds := u.lease.HoldsLease(bootclock.Now())
 	u.mu.Unlock()
 	if !holds {
 		return "", false
--- a/modules/upgrade/upgrade.go
+++ b/modules/upgrade/upgrade.go
@@ -16,12 +16,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/api/arbutuspb"
 	"github.com/arbutusline/arbutusline/decision/lease"
 	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/bootclock"
 	"github.com/arbutusline/arbutusline/modules/admin"
 	"github.com/arbutusline/arbutusline/modules/directory"
 	"github.com/arbutusline/arbutusline/modules/exchange"
@@ -186,16 +186,6 @@
 	return nil
 }
 
-// bootClock returns the time since the host started, including the time for which it
-// was suspended.
-func bootClock() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic(errors.Wrap(err, "CLOCK_BOOTTIME")) // Every Linux has this clock.
-	}
-	return time.Duration(ts.Nano())
-}
-
 // run makes the store calls for the lease and starts weights changes until ctx is done.
 func (u *Upgrade) run(ctx context.Context) {
 	ticker := time.NewTicker(planInterval)
@@ -209,7 +199,7 @@
 		changes := u.planChanges(u.directory.View())
 		u.mu.Lock()
 		u.lease.ObserveEra(u.directory.StoreEra())
-		action := u.lease.NextAction(bootClock(), len(changes) > 0 || len(u.activeChanges) > 0)
+		action := u.lease.NextAction(bootclock.Now(), len(changes) > 0 || len(u.activeChanges) > 0)
 		u.mu.Unlock()
 		if action.Kind != lease.NoAction {
 			u.goroutines.Go(func() { u.callStore(ctx, action) })
@@ -226,7 +216,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	record := u.lease.Record()
-	_, holdsLease := u.lease.HoldsLease(bootClock())
+	_, holdsLease := u.lease.HoldsLease(bootclock.Now())
 	return &arbutuspb.OrderLease{Holder: record.Holder, Fence: record.FencingToken, Held: holdsLease}
 }
 
@@ -234,7 +224,7 @@
 func (u *Upgrade) updateLeaseHeld() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	fencingToken, holdsLease := u.lease.HoldsLease(bootClock())
+	fencingToken, holdsLease := u.lease.HoldsLease(bootclock.Now())
 	if holdsLease == u.holdsLease {
 		return
 	}
@@ -270,11 +260,11 @@
 		if previous := u.lease.Record(); record.FencingToken != previous.FencingToken || record.Holder != previous.Holder {
 			u.log.WithFields(logrus.Fields{"holder": record.Holder, "fence": record.FencingToken, "revision": object.Metadata.Revision}).Info("order lease has a new holder or fencing token")
 		}
-		u.lease.HandleRecord(bootClock(), record, object.Position())
+		u.lease.HandleRecord(bootclock.Now(), record, object.Position())
 	case err == nil:
 		u.lease.HandleWrite(action.Record, object.Position())
 	case errors.Is(err, platform.ErrNotFound):
-		u.lease.HandleRecord(bootClock(), lease.Record{}, fleet.StorePosition{Era: object.Era})
+		u.lease.HandleRecord(bootclock.Now(), lease.Record{}, fleet.StorePosition{Era: object.Era})
 	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited):
 		u.lease.HandleFailure(false)
 	default:
@@ -390,7 +380,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	_, active := u.activeChanges[c.key()]
-	if _, holds := u.lease.HoldsLease(bootClock()); !holds || active {
+	if _, holds := u.lease.HoldsLease(bootclock.Now()); !holds || active {
 		return
 	}
 	u.activeChanges[c.key()] = false
