Report loads of the stand-in that end while another one starts

The stand-in of the weight store took the time twice when a load started: a load that ended between the two was dropped, and its caller waited for ever. Start and Cancel return what ended, as Advance does; TestLoadsThatEndAtAStartAreReported guards it. Only the stand-in is concerned.

--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -32,17 +32,20 @@
 	return &LoadSimulator{fullSpeedLoads: fullSpeedLoads, loadTime: loadTime, remaining: map[uint64]time.Duration{}}
 }
 
-// Start starts a load.
-func (s *LoadSimulator) Start(now time.Duration, id uint64) {
-	s.Advance(now)
+// Start starts a load and returns the ids of the loads that ended until now.
+func (s *LoadSimulator) Start(now time.Duration, id uint64) []uint64 {
+	ended := s.Advance(now)
 	s.remaining[id] = s.loadTime
 	s.Peak = max(s.Peak, len(s.remaining))
+	return ended
 }
 
-// Cancel removes a load before its end.
-func (s *LoadSimulator) Cancel(now time.Duration, id uint64) {
-	s.Advance(now)
+// Cancel removes a load before its end and returns the ids of the loads that ended until
+// now.
+func (s *LoadSimulator) Cancel(now time.Duration, id uint64) []uint64 {
+	ended := s.Advance(now)
 	delete(s.remaining, id)
+	return ended
 }
 
 // Running returns the number of loads in progress.
@@ -164,8 +167,7 @@
 	s.startedLoads++
 	id := s.lastLoadID
 	s.waiters[id] = done
-	s.completeLoads(s.simulator.Advance(s.now()))
-	s.simulator.Start(s.now(), id)
+	s.completeLoads(s.simulator.Start(s.now(), id))
 	s.scheduleAdvance()
 	s.mu.Unlock()
 	select {
@@ -173,8 +175,7 @@
 		fmt.Fprintf(w, "weights of %s %s\n", r.PathValue("model"), version)
 	case <-r.Context().Done():
 		s.mu.Lock()
-		s.completeLoads(s.simulator.Advance(s.now()))
-		s.simulator.Cancel(s.now(), id)
+		s.completeLoads(s.simulator.Cancel(s.now(), id))
 		delete(s.waiters, id)
 		s.scheduleAdvance()
 		s.mu.Unlock()
--- a/standin/weights/weights_test.go
+++ b/standin/weights/weights_test.go
@@ -34,6 +34,16 @@
 	assert.Equal(t, simulator.Peak, 4)
 }
 
+// Guards against a load that ends in the moment in which another one starts or is cancelled,
+// and of which its caller never hears.
+func TestLoadsThatEndAtAStartAreReported(t *testing.T) {
+	simulator := NewLoadSimulator(4, time.Second)
+	assert.Equal(t, len(simulator.Start(0, 1)), 0)
+	assert.DeepEqual(t, simulator.Start(time.Second, 2), []uint64{1})
+	assert.Equal(t, len(simulator.Start(1500*time.Millisecond, 3)), 0)
+	assert.DeepEqual(t, simulator.Cancel(2*time.Second, 3), []uint64{2})
+}
+
 // Guards against loads that never end, and against successful responses for unknown
 // weights versions.
 func TestServer(t *testing.T) {
