--- a/review/4/standin_test.go
+++ b/review/4/standin_test.go
@@ -1,18 +1,15 @@
 //go:build review
 
-// Package released plays releases of a service's workers, one after the other, at an entry
-// process with the descriptors of its machine.
-package released
+// Package refused plays a worker that answers requests which it has run with a failure that
+// looks like a refusal.
+package refused
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -34,24 +31,16 @@
 )
 
 const (
-	maxDescriptors  = 4100 // max_fds of the site sheet
-	engines         = 6
-	requestsPerS    = 100 // of both language routes on the site sheet
-	clients         = 100
-	newClients      = 8
-	events          = 18
-	eventPause      = 40 * time.Millisecond
-	releaseInterval = time.Second
-	drainTime       = 2200 * time.Millisecond // drain_ms and a little more
-	troubleTime     = 80 * time.Second
-	settleTime      = 5 * time.Second
-	judgedTime      = 10 * time.Second
-	stableWindow    = 3 * time.Second // stable_window_ms
-	openTimeout     = 3 * time.Second
-	readyTimeout    = 10 * time.Second
-	host            = "jepu9.example"
-	model           = "daka510000"
-	key             = "key-1"
+	workers = 4
+	// One of four workers is a share of 0.25; a share of 0.15, rounded up, is also one.
+	failingWorkers = 1
+	failingAnswers = 0.4
+	workTime       = 30 * time.Millisecond
+	entries        = 300
+	pause          = 40 * time.Millisecond // 25 postings a second
+	readyTimeout   = 20 * time.Second
+	host           = "jepu9.example"
+	key            = "key-1"
 )
 
 var client = &http.Client{Timeout: 6 * time.Second}
@@ -63,13 +52,11 @@
 	store platform.Store
 	dir   string
 	cmd   *exec.Cmd
-	boots int
-	// fullFor counts the releases since the front has no descriptor left.
-	fullFor int
-	isReady bool
-	// lastTaken is when a request on a new channel was last answered by the front.
-	lastTaken                                time.Time
-	keptSent, keptServed, newSent, newServed int
+	// ran counts the runs of each request, and posted those of each entry.
+	ran, posted map[string]int
+	// promised are the requests that were answered 503 or 429.
+	promised       []string
+	sent, answered int
 }
 
 func (r *run) add(format string, args ...any) {
@@ -82,208 +69,82 @@
 	fmt.Fprintf(r.file, "%9.3f %s\n", time.Since(r.at).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// engine is one model worker.
-type engine struct {
+// worker is one worker of a plain service that may not be asked twice.
+type worker struct {
 	*run
-	id, address string
-	server      *http.Server
+	id string
+	// failing is true for a worker that answers some requests with a failure after it has run
+	// them.
+	failing bool
 }
 
-// startEngine starts a worker at a new address and registers it.
-func (r *run) startEngine() (*engine, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	r.boots++
-	e := &engine{run: r, id: fmt.Sprintf("i-%08x", 0x7f3a0000+r.boots), address: l.Addr().String()}
-	e.server = &http.Server{Handler: e}
-	go func() { _ = e.server.Serve(l) }()
-	e.register("ready")
-	return e, nil
-}
-
-func (e *engine) register(state string) {
-	e.store.Put("servers", e.id, map[string]any{
-		"service": "ledger-llm", "address": e.address, "zone": "a", "version": "v1", "slots": 64, "state": state,
-		"cold_remaining_ms": 0, "sequence": 1, "models": models(),
-	})
-}
-
-// leave drains the worker and ends it when no request runs there any more.
-func (e *engine) leave() {
-	e.register("draining")
-	time.Sleep(drainTime)
-	_ = e.server.Shutdown(context.Background())
-	e.store.Remove("servers", e.id)
-}
-
-func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.id {
-		w.Header().Set("Instance-Id", e.id)
-		w.WriteHeader(http.StatusMisdirectedRequest)
+func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != w.id {
+		rw.Header().Set("Instance-Id", w.id)
+		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	switch r.URL.Path {
-	case "/report":
-		writeJSON(w, map[string]any{"stage": "both", "models": models(), "busy": false, "sequence": 0, "queued": 0, "running": 0, "kv_used": 0, "kv_total": 104328, "handles": 0})
-	case "/kv-events":
-		select {
-		case <-time.After(800 * time.Millisecond):
-		case <-r.Context().Done():
-		}
-		writeJSON(w, map[string]any{"boot_epoch": 7, "next": 1, "lost": false, "events": []any{}})
-	default:
-		e.serve(w, r)
+	id := r.Header.Get("Request-Id")
+	body, _ := io.ReadAll(r.Body)
+	w.mu.Lock()
+	w.ran[id]++
+	w.posted[string(body)]++
+	w.addLocked("run %s at %s: %s", id, w.id, body)
+	w.mu.Unlock()
+	time.Sleep(workTime)
+	rw.Header().Set("Request-Id", id)
+	rw.Header().Set("Server-Stamp", w.id+"."+id)
+	if w.failing && rand.Float64() < failingAnswers {
+		// The answer has no Not-Executed, as the request has run.
+		w.add("answer %s at %s: 503 without Not-Executed", id, w.id)
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
+	_, _ = io.WriteString(rw, "answer to "+id)
 }
 
-func models() []any {
-	return []any{map[string]any{"name": model, "version": 1, "adapters": []string{}}}
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
-
-func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
-	id := r.Header.Get("Request-Id")
-	e.add("run %s at %s", id, e.id)
-	h := w.Header()
-	h.Set("Request-Id", id)
-	h.Set("Server-Stamp", e.id+"."+id)
-	h.Set("Weight-Versions", "1")
-	h.Set("Content-Type", "text/event-stream")
-	for n := 1; n <= events; n++ {
-		time.Sleep(eventPause)
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n); err != nil {
+// post sends one entry as a sound client does: after a promise that the request has not run it
+// tries once more, with a new id on a new channel.
+func (r *run) post(front, entry string) {
+	for attempt := 1; attempt <= 2; attempt++ {
+		id := fmt.Sprintf("%s-%d", entry, attempt)
+		status, wait, err := send(front, id, entry)
+		r.mu.Lock()
+		r.addLocked("send %s: %d %v", id, status, err)
+		r.sent++
+		if status == http.StatusOK && err == nil {
+			r.answered++
+		}
+		promised := err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
+		if promised {
+			r.promised = append(r.promised, id)
+		}
+		r.mu.Unlock()
+		if !promised {
 			return
 		}
-		_ = http.NewResponseController(w).Flush()
+		time.Sleep(wait)
 	}
 }
 
-// answer is how a request ended.
-type answer struct {
-	served bool
-	kept   bool
-	text   string
-}
-
-func (r *run) send(client *http.Client, front, id string) answer {
-	request, err := http.NewRequest(http.MethodPost, "http://"+front+"/lepu270/2f", strings.NewReader("prompt"))
+func send(front, id, body string) (status int, retryAfter time.Duration, err error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+front+"/lepu270/2f", strings.NewReader(body))
 	if err != nil {
-		panic(err)
+		return 0, 0, err
 	}
-	var out answer
-	request = request.WithContext(httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { out.kept = info.Reused },
-	}))
 	request.Host = host
-	for name, value := range map[string]string{
-		"Request-Id": id, "Model": model, "Token-Count": "826,73", "Deadline-Ms": "6000", "Authorization": "Token " + key,
-		"Prefix-Hash": fmt.Sprintf("%x:119,%x:79,%x:628", 0x3000+rand.IntN(40), 0x4000+rand.IntN(472), rand.Uint32()),
-	} {
-		request.Header.Set(name, value)
-	}
+	request.Close = true
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", "1000")
+	request.Header.Set("Authorization", "Token "+key)
 	response, err := client.Do(request)
 	if err != nil {
-		out.text = err.Error()
-		return out
+		return 0, 0, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	out.served = err == nil && response.StatusCode == http.StatusOK && strings.Count(string(body), "data: ") == events
-	out.text = fmt.Sprintf("%d, %d bytes, %v", response.StatusCode, len(body), err)
-	return out
-}
-
-// keep sends requests on a kept channel at its share of the rate.
-func (r *run) keep(front string, n int, stop <-chan struct{}) {
-	client := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
-	const share = time.Second * clients / requestsPerS
-	for k := 0; ; k++ {
-		at := time.Now()
-		a := r.send(client, front, fmt.Sprintf("c%d-%d", n, k))
-		r.count(a, fmt.Sprintf("c%d-%d", n, k), &r.keptSent, &r.keptServed)
-		select {
-		case <-stop:
-			return
-		case <-time.After(max(10*time.Millisecond, time.Duration((0.5+rand.Float64())*float64(share))-time.Since(at))):
-		}
-	}
-}
-
-// open sends each request on a new channel and gives up after the second that clients allow a
-// channel to be established and a request to be read.
-func (r *run) open(front string, n int, stop <-chan struct{}) {
-	client := &http.Client{Timeout: openTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	for k := 0; ; k++ {
-		id := fmt.Sprintf("n%d-%d", n, k)
-		a := r.send(client, front, id)
-		r.count(a, id, &r.newSent, &r.newServed)
-		select {
-		case <-stop:
-			return
-		case <-time.After(200 * time.Millisecond):
-		}
-	}
-}
-
-func (r *run) count(a answer, id string, sent, served *int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.addLocked("answer %s kept=%t served=%t: %s", id, a.kept, a.served, a.text)
-	*sent++
-	if a.served {
-		*served++
-	}
-	if strings.HasPrefix(id, "n") && (a.served || strings.HasPrefix(a.text, "503")) {
-		r.lastTaken = time.Now()
-	}
-}
-
-// probe asks for readiness once a second on a kept channel.
-func (r *run) probe(ready string, stop <-chan struct{}) {
-	probes := &http.Client{Timeout: time.Second}
-	for {
-		response, err := probes.Get("http://" + ready + "/readyz")
-		r.mu.Lock()
-		r.isReady = err == nil && response.StatusCode == http.StatusOK
-		r.addLocked("ready %t", r.isReady)
-		r.mu.Unlock()
-		if err == nil {
-			_, _ = io.Copy(io.Discard, response.Body)
-			response.Body.Close()
-		}
-		select {
-		case <-stop:
-			return
-		case <-time.After(time.Second):
-		}
-	}
-}
-
-func (r *run) descriptors() int {
-	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.cmd.Process.Pid))
-	return len(entries)
-}
-
-func manifest() map[string]any {
-	return map[string]any{
-		"version": 3,
-		"routes": []any{map[string]any{
-			"name": "tech-query", "host": host, "path_prefix": "/lepu270/", "route_type": "stream", "service": "ledger-llm", "sticky": true, "resumable": true,
-			"timeout_ms": 15000, "target_latency_ms": 400, "target_gap_ms": 300, "priority": 0, "max_attempts": 2,
-		}},
-		"services": []any{map[string]any{"name": "ledger-llm", "max_connections": 370, "engine": map[string]any{
-			"slots": 64, "kv_capacity_tokens": 104328, "kv_token_bytes": 163840.0, "models": []any{map[string]any{"name": model, "version": 1}},
-		}}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "sese880", "api_keys": []string{key}}},
-	}
+	_, err = io.Copy(io.Discard, response.Body)
+	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	return response.StatusCode, min(time.Duration(seconds*float64(time.Second)), 300*time.Millisecond), err
 }
 
 func TestMain(*testing.M) {
@@ -292,7 +153,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	r := &run{file: file, at: time.Now()}
+	r := &run{file: file, at: time.Now(), ran: map[string]int{}, posted: map[string]int{}}
 	code, err := r.play()
 	if r.cmd != nil && r.cmd.Process != nil {
 		_ = r.cmd.Process.Kill()
@@ -312,69 +173,71 @@
 		return exitNotRun, err
 	}
 	r.store.Put("config", "main", manifest())
-	r.store.Put("versions", model, map[string]any{"model": model, "version": 1})
 	storeAddress, err := serve(&r.store)
 	if err != nil {
 		return exitNotRun, err
 	}
-	var running []*engine
-	for range engines {
-		e, err := r.startEngine()
+	for i := range workers {
+		w := &worker{run: r, id: fmt.Sprintf("i-%08x", 0x7f3a91c0+i), failing: i < failingWorkers && os.Getenv("TROUBLE") != "0"}
+		address, err := serve(w)
 		if err != nil {
 			return exitNotRun, err
 		}
-		running = append(running, e)
+		r.store.Put("servers", w.id, map[string]any{
+			"service": "records-app", "address": address, "zone": "a", "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+		})
 	}
-	front, ready, err := r.startFront(storeAddress)
+	front, err := r.startFront(storeAddress)
 	if err != nil {
 		return exitNotRun, err
 	}
-	stop := make(chan struct{})
-	defer close(stop)
-	for n := range clients {
-		go r.keep(front, n, stop)
+	var clients sync.WaitGroup
+	for n := range entries {
+		clients.Go(func() { r.post(front, fmt.Sprintf("entry-%d", n)) })
+		time.Sleep(pause)
 	}
-	for n := range newClients {
-		go r.open(front, n, stop)
-	}
-	go r.probe(ready, stop)
-	trouble := os.Getenv("TROUBLE") != "0"
-	for end := time.Now().Add(troubleTime); time.Now().Before(end); time.Sleep(releaseInterval) {
-		if !trouble {
-			continue
-		}
-		for i, old := range running {
-			if running[i], err = r.startEngine(); err != nil {
-				return exitNotRun, err
-			}
-			go old.leave()
+	clients.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	untrue, doubled := 0, 0
+	for _, id := range r.promised {
+		if r.ran[id] > 0 {
+			untrue++
+			r.addLocked("REFUSED: %s was answered with a promise that it has not run, and ran", id)
 		}
-		r.add("released %d workers so far, the front has %d descriptors", r.boots-engines, r.descriptors())
-		if r.descriptors() >= maxDescriptors-1 {
-			if r.fullFor++; r.fullFor > 4 {
-				break
-			}
+	}
+	for entry, n := range r.posted {
+		if n > 1 {
+			doubled++
+			r.addLocked("%s was posted %d times", entry, n)
 		}
 	}
-	r.add("last release, the front has %d descriptors", r.descriptors())
-	time.Sleep(settleTime)
-	r.mu.Lock()
-	kept, keptServed, opened, openedServed := r.keptSent, r.keptServed, r.newSent, r.newServed
-	r.mu.Unlock()
-	time.Sleep(judgedTime)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	silent := time.Since(r.lastTaken)
-	summary := fmt.Sprintf("%d workers released, %d descriptors; in the last %s with no release: served %d of %d on kept channels, %d of %d on new ones, no new channel taken for %.1f s, ready %t",
-		r.boots-engines, r.descriptors(), judgedTime, r.keptServed-keptServed, r.keptSent-kept, r.newServed-openedServed, r.newSent-opened, silent.Seconds(), r.isReady)
+	summary := fmt.Sprintf("%d sent, %d answered with success, %d refused, %d of these have run, %d entries posted twice", r.sent, r.answered, len(r.promised), untrue, doubled)
 	r.addLocked("%s", summary)
 	fmt.Println(summary)
-	if r.isReady && silent > stableWindow {
+	switch {
+	case r.answered == 0:
+		return exitNotRun, nil
+	case untrue > 0:
 		return exitBroken, nil
 	}
 	return exitHeld, nil
 }
 
+// manifest has the route of postings.
+func manifest() map[string]any {
+	return map[string]any{
+		"version": 3,
+		"routes": []any{map[string]any{
+			"name": "recovery-post", "host": host, "path_prefix": "/lepu270/", "route_type": "non_idempotent", "service": "records-app",
+			"timeout_ms": 1000, "target_latency_ms": 150, "priority": 2, "max_attempts": 1,
+		}},
+		"services": []any{map[string]any{"name": "records-app", "max_connections": 110}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  []any{map[string]any{"name": "sese880", "api_keys": []string{key}}},
+	}
+}
+
 func serve(h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -385,21 +248,21 @@
 }
 
 // startFront starts the process with the command and the template of the deploy file, and
-// returns its addresses for clients and for readiness.
-func (r *run) startFront(store string) (front, ready string, err error) {
+// returns its address for clients.
+func (r *run) startFront(store string) (string, error) {
 	var addresses [4]string
 	var listeners []net.Listener
 	for i := range addresses {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
-			return "", "", err
+			return "", err
 		}
 		addresses[i] = l.Addr().String()
 		listeners = append(listeners, l)
 	}
 	template, err := os.ReadFile("deploy/router.json.tmpl")
 	if err != nil {
-		return "", "", err
+		return "", err
 	}
 	quote := strconv.Quote
 	text := strings.NewReplacer(
@@ -411,19 +274,18 @@
 	).Replace(string(template))
 	settings := filepath.Join(r.dir, "node.json")
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
-		return "", "", err
+		return "", err
 	}
 	for _, l := range listeners {
 		_ = l.Close()
 	}
-	return addresses[0], addresses[1], r.start(settings, addresses[1])
+	return addresses[0], r.start(settings, addresses[1])
 }
 
 func (r *run) start(settings, ready string) error {
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if r.cmd == nil {
-			// The shell sets the descriptors of the machine for this process alone.
-			r.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec target/arbutus-front --settings %s --stop-timeout 7s", maxDescriptors, settings))
+			r.cmd = exec.Command("target/arbutus-front", "--settings", settings, "--stop-timeout", "7s")
 			r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 			if err := r.cmd.Start(); err != nil {
 				return err
