Do not forward statuses that promise "not run" after a run

Cause: the relay forwarded the status of a response of a run, also 408, 421, 429 and 503, which callers read as a promise, and took each 421 for "not run". Evidence: with endpoints that run each request and answer with such a status, all four statuses left the router on all four kinds of route, on first tries and on retries.

Change: a response states that nothing ran by Not-Executed, or as the 421 of another endpoint that is not signed. Any other response with such a status is a failed run; the caller gets 502. refuse answers 502 once a try may have run, so that no other path can send 503 then.

--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -75,7 +75,8 @@
 	// resultRefused means that the endpoint reported that it did not run the
 	// request.
 	resultRefused
-	// resultErrorResponse is a complete response with a 5xx status.
+	// resultErrorResponse is a complete response of a run with a 5xx status or one that
+	// promises that the request has not run.
 	resultErrorResponse
 	// resultIncompleteResponse means that the request may have run and no complete and
 	// valid response arrived.
--- a/modules/relay/respond.go
+++ b/modules/relay/respond.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/arbutusline/arbutusline/decision/selection"
+	"github.com/arbutusline/arbutusline/internal/httpstatus"
 	"github.com/arbutusline/arbutusline/platform"
 )
 
@@ -45,23 +46,25 @@
 		x.report.Outcome, x.report.Incomplete = OutcomeCallerDisconnected, true
 	case x.headerSent:
 		x.report.Outcome, x.report.Incomplete = OutcomeInterrupted, true
-	case x.lastResult.kind == resultErrorResponse:
+	case x.lastResult.kind == resultErrorResponse && !httpstatus.PromisesNotRun(x.lastResult.status):
 		x.forwardResponse(x.lastResult)
 		x.report.Outcome = OutcomeEndpointError
 	case x.mayHaveRunCount > 0 && ctx.Err() != nil, x.lastResult.kind == resultTimeout:
 		x.respondEmpty(http.StatusGatewayTimeout, 0)
 		x.report.Outcome = OutcomeTimeout
-	case x.mayHaveRunCount > 0:
-		x.respondEmpty(http.StatusBadGateway, 0)
-		x.report.Outcome = OutcomeFailed
 	default:
 		x.refuse(reason, refusalRetryAfter)
 	}
 }
 
 // refuse responds with status 503, which tells the caller that the request did not run
-// and will not run.
+// and will not run. A request that may have run gets 502 instead.
 func (x *execution) refuse(reason string, retryAfter time.Duration) {
+	if x.mayHaveRunCount > 0 {
+		x.report.Outcome, x.report.Reason = OutcomeFailed, reason
+		x.respondEmpty(http.StatusBadGateway, 0)
+		return
+	}
 	x.report.Outcome, x.report.Reason = OutcomeRefused, reason
 	x.relay.metrics.refusals.WithLabelValues(reason).Inc()
 	x.respondEmpty(http.StatusServiceUnavailable, retryAfter)
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -13,6 +13,7 @@
 
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/httpstatus"
 	"github.com/arbutusline/arbutusline/modules/upstream"
 	"github.com/arbutusline/arbutusline/platform"
 	"github.com/arbutusline/arbutusline/sse"
@@ -86,7 +87,7 @@
 	a.headReceived = true
 	a.observeWeightsVersion(response)
 	a.observeStatements(request, response)
-	if response.Status == http.StatusMisdirectedRequest || response.Header.Get(platform.HeaderNotExecuted) != "" {
+	if a.statesNotRun(response) {
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
 		return result{kind: resultRefused, status: response.Status, header: response.Header, err: err, wrongEndpoint: a.refusedByOtherEndpoint(response)}
 	}
@@ -187,6 +188,15 @@
 	}
 }
 
+// statesNotRun reports whether a response states that the endpoint did not run the request. Its
+// status alone does not: a faulty endpoint may run a request and answer 421, 429 or 503.
+func (a *attempt) statesNotRun(response *upstream.Response) bool {
+	if response.Header.Get(platform.HeaderNotExecuted) != "" {
+		return true
+	}
+	return a.refusedByOtherEndpoint(response) && response.Header.Get(platform.HeaderSignature) == ""
+}
+
 // refusedByOtherEndpoint reports whether the request was refused by another endpoint
 // than the selected one.
 func (a *attempt) refusedByOtherEndpoint(response *upstream.Response) bool {
@@ -203,7 +213,7 @@
 	}
 	res := result{status: response.Status, header: response.Header, body: body}
 	a.recordPrefillEnded(response.Status < http.StatusBadRequest)
-	if response.Status >= http.StatusInternalServerError {
+	if response.Status >= http.StatusInternalServerError || httpstatus.PromisesNotRun(response.Status) {
 		res.kind = resultErrorResponse
 		return res
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -143,6 +143,11 @@
 	},
 }
 
+// endpointFaults are the ways in which an endpoint fails requests.
+var endpointFaults = []platform.Fault{
+	platform.FaultNotExecuted, platform.FaultError, platform.FaultNoResponse, platform.FaultTruncatedResponse, platform.FaultRefusalStatus,
+}
+
 // unplannedFaults may interrupt calls.
 var unplannedFaults = []injection{
 	func(d *deployment, target int, duration time.Duration) {
@@ -200,7 +205,7 @@
 	},
 	func(d *deployment, target int, duration time.Duration) {
 		e := d.endpointAt(target)
-		kind := []platform.Fault{platform.FaultNotExecuted, platform.FaultError, platform.FaultNoResponse, platform.FaultTruncatedResponse}[target%4]
+		kind := endpointFaults[target%len(endpointFaults)]
 		d.recordFault(fmt.Sprintf("%s fails: %s", e.name, kind), "", false, duration)
 		e.current().InjectFault(1+target%5, kind)
 		time.Sleep(duration)
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -64,6 +64,8 @@
 	fault           Fault
 	// resumedFailure is the response to requests that resume a stream, if it is not nil.
 	resumedFailure *resumedFailure
+	// executedStatus is the status of the responses to all executed requests, or 0.
+	executedStatus int
 	// responseHeader is added to all responses.
 	responseHeader http.Header
 }
@@ -77,6 +79,8 @@
 	FaultNotExecuted Fault = "shed"
 	// FaultError executes the request and answers 500.
 	FaultError Fault = "error"
+	// FaultRefusalStatus executes the request and answers 503.
+	FaultRefusalStatus Fault = "refusal status"
 	// FaultNoResponse executes the request and closes the connection without a
 	// response.
 	FaultNoResponse Fault = "reset"
@@ -112,6 +116,26 @@
 	e.resumedFailure = &resumedFailure{status, contentType, body}
 }
 
+// FailExecuted makes the endpoint execute all requests and answer them with the status from
+// now on. 0 makes it sound again.
+func (e *Endpoint) FailExecuted(status int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.executedStatus = status
+}
+
+// failExecuted answers an executed request with a failure, if it must fail.
+func (e *Endpoint) failExecuted(rw http.ResponseWriter) bool {
+	e.mu.Lock()
+	status := e.executedStatus
+	e.mu.Unlock()
+	if status == 0 {
+		return false
+	}
+	rw.WriteHeader(status)
+	return true
+}
+
 // failResumed answers a request that resumes a stream, if it must fail.
 func (e *Endpoint) failResumed(rw http.ResponseWriter, r *http.Request) bool {
 	e.mu.Lock()
@@ -337,11 +361,15 @@
 		e.crash()
 		panic(http.ErrAbortHandler)
 	}
-	if fault == FaultError {
+	switch fault {
+	case FaultError:
 		rw.WriteHeader(http.StatusInternalServerError)
 		return
+	case FaultRefusalStatus:
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
-	if e.failResumed(rw, r) {
+	if e.failExecuted(rw) || e.failResumed(rw, r) {
 		return
 	}
 	if e.Model != "" {
