Answer 502 when a plain service refuses a call that may have run

Callers of a plain service behind an agent got the service's own 503, 429, 408 or 421 and read it as a promise that the call has not run.

Cause: the agent records any response of a service as the answer, and the API forwarded its status; a service has no way to state that it did not run a call.

Change: such an answer becomes an error with status 502 and the outcome unknown. TestRefusalStatusOfAServiceIsNotForwarded failed before and passes.

--- a/modules/callerapi/callerapi_test.go
+++ b/modules/callerapi/callerapi_test.go
@@ -262,3 +262,24 @@
 		}
 	})
 }
+
+// statusesOfRefusals tell callers that a request did not run and never will.
+var statusesOfRefusals = map[int]bool{
+	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
+}
+
+// Guards against a plain service's own 503 after a run that reaches the caller as a promise
+// that the call has not run.
+func TestRefusalStatusOfAServiceIsNotForwarded(t *testing.T) {
+	for status := range statusesOfRefusals {
+		dispatcher := &fakeDispatcher{result: dispatch.Result{
+			Finish: attempt.Finish{Outcome: attempt.OutcomeDone}, Endpoint: "rec-01",
+			Done: &arbutuspb.Done{ServiceAnswer: &arbutuspb.ServiceAnswer{Status: int32(status), Body: []byte("busy")}},
+		}}
+		w := post(newTestAPI(t, dispatcher), "/services/records-app/recovery", `{}`, headerIdempotencyKey, "k-1")
+		var body errorBody
+		assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &body))
+		assert.Equal(t, w.Code, http.StatusBadGateway)
+		assert.Equal(t, body.Error.Outcome, attempt.OutcomeUnknown)
+	}
+}
--- a/modules/callerapi/services.go
+++ b/modules/callerapi/services.go
@@ -4,10 +4,12 @@
 	"net/http"
 	"net/url"
 	"path"
+	"strconv"
 	"strings"
 
 	"github.com/arbutusline/arbutusline/api/arbutuspb"
 	"github.com/arbutusline/arbutusline/decision/attempt"
+	"github.com/arbutusline/arbutusline/internal/httpstatus"
 	"github.com/arbutusline/arbutusline/modules/dispatch"
 	"github.com/arbutusline/arbutusline/rules"
 )
@@ -45,6 +47,12 @@
 	if result.Outcome != attempt.OutcomeDone {
 		return refusalFromFinish(result.Finish)
 	}
+	if status := int(result.Done.GetServiceAnswer().GetStatus()); httpstatus.PromisesNotRun(status) {
+		return &refusal{
+			code: attempt.CodeUpstreamFailed, outcome: attempt.OutcomeUnknown,
+			message: "the service answered with status " + strconv.Itoa(status) + "; the call may have run",
+		}
+	}
 	writeServiceAnswer(c, result)
 	return nil
 }
