Send no 429 or 503 beside the outcome "unknown"

A caller got 503 with the outcome unknown, such as after the deadline of a request whose first endpoint had broken, or from a router that shuts down for a request with an Idempotency-Key. Clients that go by the status repeat such a request as one that never ran.

Cause: the status follows the code alone. Change: where the outcome is not not_run, a status that promises that becomes 502, or 504 for the deadline. Retry-After stays, as the caller of a keyed request may come back.

TestUnknownOutcomeHasNoStatusOfARefusal failed before (deadline: 503) and passes.

--- a/modules/callerapi/callerapi_test.go
+++ b/modules/callerapi/callerapi_test.go
@@ -283,3 +283,21 @@
 		assert.Equal(t, body.Error.Outcome, attempt.OutcomeUnknown)
 	}
 }
+
+// Guards against a status that promises "not run" beside the outcome "unknown", for each code.
+func TestUnknownOutcomeHasNoStatusOfARefusal(t *testing.T) {
+	for code := range statusByCode {
+		for _, request := range [][]string{
+			{"/services/records-app/recovery", headerIdempotencyKey, "k-1"}, {"/v1/completions"},
+		} {
+			dispatcher := &fakeDispatcher{result: dispatch.Result{Finish: attempt.Finish{Outcome: attempt.OutcomeUnknown, Code: code}}}
+			w := post(newTestAPI(t, dispatcher), request[0], `{"model":"ledger-llm","prompt":"a"}`, request[1:]...)
+			assert.Assert(t, !statusesOfRefusals[w.Code], "%s: %d", code, w.Code)
+		}
+	}
+	api := newTestAPI(t, &fakeDispatcher{result: completedResult()})
+	api.shuttingDown.Store(true)
+	w := post(api, "/services/records-app/recovery", `{}`, headerIdempotencyKey, "k-1")
+	assert.Equal(t, w.Code, http.StatusBadGateway)
+	assert.Equal(t, w.Header().Get("Retry-After"), "1")
+}
--- a/modules/callerapi/errors.go
+++ b/modules/callerapi/errors.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/arbutusline/arbutusline/decision/attempt"
+	"github.com/arbutusline/arbutusline/internal/httpstatus"
 	"github.com/arbutusline/arbutusline/modules/dispatch"
 )
 
@@ -80,17 +81,26 @@
 	return &refusal{code: f.Code, message: f.Reason, outcome: f.Outcome, retryAfter: f.RetryAfter}
 }
 
+// status returns the HTTP status of the code. If the request may have run, it returns 504 or
+// 502 in place of a status that promises that it has not.
 func (r *refusal) status() int {
-	if status, ok := statusByCode[r.code]; ok {
+	status, ok := statusByCode[r.code]
+	switch {
+	case !ok:
+		return http.StatusInternalServerError
+	case r.outcome == attempt.OutcomeNotRun || !httpstatus.PromisesNotRun(status):
 		return status
+	case r.code == attempt.CodeDeadline:
+		return http.StatusGatewayTimeout
 	}
-	return http.StatusInternalServerError
+	return http.StatusBadGateway
 }
 
-// retryAfterSeconds returns the value of the Retry-After header: at least 1 for
-// refusals with status 429 or 503, and 0, which means no header, for all others.
+// retryAfterSeconds returns the value of the Retry-After header: at least 1 if the status of
+// the code is 429 or 503, also if another one is sent because the request may have run, and 0,
+// which means no header, for all others.
 func (r *refusal) retryAfterSeconds() int {
-	status := r.status()
+	status := statusByCode[r.code]
 	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
 		return 0
 	}
