Take an engine's error response for a rejection only if it says so

An engine behind an agent that ran a completion and answered with an error was reported as not run: the router sent the completion to another engine, or told the caller so.

Cause: the agent's client took each status but 200 for a rejection. Change: the engine protocol has the header X-Not-Run; error responses without it are endpoint_failed and may have run. The stand-in sends the header where it refuses before it submits a sequence.

--- a/modules/engine/engine.go
+++ b/modules/engine/engine.go
@@ -33,6 +33,9 @@
 	// ErrRejected means that the endpoint responded that it did not run the
 	// request.
 	ErrRejected = errors.New("the endpoint rejected the request")
+	// ErrFailed means that the endpoint responded with an error that does not
+	// state that it did not run the request: the request may have run.
+	ErrFailed = errors.New("the endpoint failed the request")
 	// ErrConnectionBroken means that the request may have been sent and no
 	// complete answer was received: the request may have run.
 	ErrConnectionBroken = errors.New("the connection to the endpoint broke")
@@ -40,6 +43,10 @@
 	ErrAnswerTooLarge = errors.New("the answer of the endpoint is too large")
 )
 
+// headerNotRun in an error response of an engine states that it did not run the request. The
+// status alone promises nothing.
+const headerNotRun = "X-Not-Run"
+
 // Maximum sizes of an event of a stream and of the answer of a plain service.
 const (
 	maxEventBytes  = 1 << 20
@@ -177,7 +184,7 @@
 }
 
 // Complete runs a completion and calls emit for each token in order. Its error is
-// ErrNotSent, ErrRejected, ErrConnectionBroken or the error of emit.
+// ErrNotSent, ErrRejected, ErrFailed, ErrConnectionBroken or the error of emit.
 func (e *Engine) Complete(ctx context.Context, c CompletionRequest, emit func(index int, text string) error) (CompletionResult, error) {
 	c.Stream = true
 	body, err := json.Marshal(c)
@@ -191,7 +198,11 @@
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxEventBytes))
-		return CompletionResult{}, errors.Wrapf(ErrRejected, "status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
+		kind := ErrFailed
+		if resp.Header.Get(headerNotRun) != "" {
+			kind = ErrRejected
+		}
+		return CompletionResult{}, errors.Wrapf(kind, "status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
 	}
 	return readStream(resp.Body, emit)
 }
--- a/modules/runner/execute.go
+++ b/modules/runner/execute.go
@@ -157,6 +157,8 @@
 		return "endpoint_unreachable", false, false
 	case errors.Is(err, engine.ErrRejected):
 		return "endpoint_rejected", false, false
+	case errors.Is(err, engine.ErrFailed):
+		return "endpoint_failed", true, false
 	case errors.Is(err, engine.ErrAnswerTooLarge):
 		return "answer_too_large", true, false
 	case errors.Is(err, engine.ErrConnectionBroken):
--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -121,6 +121,7 @@
 		req.Team = r.Header.Get("X-Team")
 	}
 	if req.RequestID == "" || req.ResumeTokens < 0 || req.ResumeTokens > req.MaxTokens {
+		w.Header().Set(headerNotRun, "1")
 		serve.WriteError(w, http.StatusBadRequest, "bad_request", "request_id is missing or resume_tokens is out of range")
 		return
 	}
@@ -129,6 +130,9 @@
 	}
 	stream, httpErr := s.submitCompletion(&req)
 	if httpErr != nil {
+		if httpErr.code != codeStillRunning {
+			w.Header().Set(headerNotRun, "1")
+		}
 		serve.WriteError(w, httpErr.status, httpErr.code, httpErr.message)
 		return
 	}
@@ -139,6 +143,12 @@
 	}
 }
 
+// headerNotRun states that the engine did not run the request of an error response.
+const headerNotRun = "X-Not-Run"
+
+// codeStillRunning is the code of the response to a request whose ID is that of one that runs.
+const codeStillRunning = "still_running"
+
 type httpError struct {
 	status        int
 	code, message string
@@ -161,7 +171,7 @@
 	case errors.Is(err, ErrQueueFull):
 		return nil, &httpError{http.StatusTooManyRequests, "queue_full", err.Error()}
 	case errors.Is(err, ErrDuplicateID):
-		return nil, &httpError{http.StatusConflict, "still_running", err.Error()}
+		return nil, &httpError{http.StatusConflict, codeStillRunning, err.Error()}
 	case err != nil:
 		return nil, &httpError{http.StatusRequestEntityTooLarge, "too_long", err.Error()}
 	}
