Name the isolated teams in the cache namespace of all others

Cause: the namespace of the teams that share stood for "not isolated now" and did not change when a team was isolated. Besides, retries and moved streams took the namespace of the configuration under which the request had arrived.

Change: the common namespace is a digest of the names of the isolated teams, so that each of its parts was made by a team that may share while it is used. It follows from the configuration alone: no history, store or exchange is needed.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -51,6 +51,7 @@
 	"failed to refresh weights version of engine": {"endpoint", "error"},
 	"engine restarted with an empty cache":        {"endpoint", "epoch"},
 	"KV cache store reachability changed":         {"address", "down"},
+	"cache namespace of shared parts changed":     {"configuration", "namespace"},
 
 	// Limits that endpoints state.
 	"endpoint request limit changed":                  {"endpoint", "limit", "before", "routers", "source"},
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -132,6 +132,9 @@
 	fingerprint uint64
 	// sharedParts identify the prompt's shared parts.
 	sharedParts []uint64
+	// teamNamespace is the cache namespace of the request's team in the configuration by which
+	// the last endpoint was selected. The relay's lock guards it.
+	teamNamespace string
 	// condemned is true after an attempt was not allowed for a part of the prompt.
 	condemned bool
 	// excluded are the IDs of the endpoints of earlier attempts.
@@ -387,7 +390,7 @@
 		softwareVersion = x.softwareVersions[0]
 	}
 	return &selection.Request{
-		SoftwareVersion: softwareVersion, Service: x.req.Service, Prompt: x.req.Prompt, CacheNamespace: x.req.teamNamespace(), Exclude: x.excluded,
+		SoftwareVersion: softwareVersion, Service: x.req.Service, Prompt: x.req.Prompt, CacheNamespace: x.teamNamespace, Exclude: x.excluded,
 		Repeatable: x.req.Route.Repeatable(), MovedForWeightsChange: x.lastResult.kind == resultMoved,
 		AllowExpiredWeights: x.relay.directory.StoreUnreachableForAll(),
 	}
@@ -398,10 +401,11 @@
 // returns overload.Wait if no endpoint is available, or if condemned is set.
 func (x *execution) selectEndpoint(held time.Duration) (selection.Choice, overload.Verdict) {
 	r := x.relay
-	v := r.directory.View()
-	request := x.selectionRequest()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	v := r.directory.View()
+	x.teamNamespace = r.teamNamespaceLocked(v.Config, x.req.Team)
+	request := x.selectionRequest()
 	c, ok := r.selector.Select(r.now(), time.Now(), v, request)
 	for i := 1; !ok && i < len(x.softwareVersions); i++ {
 		request.SoftwareVersion = x.softwareVersions[i]
@@ -443,7 +447,7 @@
 		Priority: x.req.priority(), HasPriority: x.req.Prompt != nil,
 	}
 	if x.req.Prompt != nil {
-		values.CacheNamespace, values.WeightsVersion = formatCacheNamespace(c.WeightsVersion, x.req.teamNamespace()), c.WeightsVersion
+		values.CacheNamespace, values.WeightsVersion = formatCacheNamespace(c.WeightsVersion, x.teamNamespace), c.WeightsVersion
 		values.FetchFrom, values.SaveTo = c.FetchFrom, c.SaveTo
 	}
 	return values
--- a/modules/relay/job.go
+++ b/modules/relay/job.go
@@ -64,15 +64,6 @@
 	return r.Team.Name
 }
 
-// teamNamespace returns the team's name if the team shares no cached prompt parts
-// with others, and "" otherwise.
-func (r *Request) teamNamespace() string {
-	if r.Team == nil || !r.Team.Isolated {
-		return ""
-	}
-	return r.Team.Name
-}
-
 // priority combines the priorities of team and route. The team's takes precedence.
 func (r *Request) priority() int {
 	p := r.Route.Priority
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -91,6 +91,7 @@
 	selector     *selection.Selector
 	crashReports *strikes.Table
 	suspects     *poison.Table
+	cacheDomains cacheDomains
 	// routerNames are the names of the other routers that suspects and the selector know. It
 	// is nil until the registered routers are known.
 	routerNames map[string]bool
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -82,6 +82,9 @@
 	// Every fourth seed has only planned changes, which must not interrupt any call.
 	d.injectFaults(rng, seed%4 == 0)
 	d.clearFaults()
+	if version, _ := d.latestVersions(); version%2 != 0 {
+		d.publishNextConfiguration() // isolates the team that has shared its cached prefixes
+	}
 	time.Sleep(faultRecoveryTime)
 	time.Sleep(undisturbedPeriod)
 	cancel()
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -13,6 +13,8 @@
 
 // ExecutedRequest is a request that an endpoint executed.
 type ExecutedRequest struct {
+	// At is when the request arrived.
+	At                   time.Time
 	RequestID, Team, URI string
 	Body                 string
 	DeadlineMS           string
@@ -409,7 +411,7 @@
 	}
 	e.runningRequests++
 	e.executed = append(e.executed, ExecutedRequest{
-		RequestID: r.Header.Get("Request-Id"), Team: r.Header.Get("Tenant"), URI: r.URL.RequestURI(), Body: body,
+		At: time.Now(), RequestID: r.Header.Get("Request-Id"), Team: r.Header.Get("Tenant"), URI: r.URL.RequestURI(), Body: body,
 		DeadlineMS: r.Header.Get("Deadline-Ms"), CacheNamespace: r.Header.Get("Cache-Salt"), WeightsVersion: e.weightsVersion,
 		LastEventID: r.Header.Get("Last-Event-Id"),
 	})
