Bound the memory for responses over all connections

Cause: each response had a limit (8 MB answers, 4 MB cache events and others), and nothing limited them together; buffers were copied while they grew.

Change: the module memory divides a quarter of the process's memory, at most 32 MiB, between all readers of responses: answers, events, heads, cache events, status, the store's pages, calls of other routers. When it is short, the incomplete response that holds most gives way. A third is kept for the store and other routers. The setting is checked against the process's memory, and the runtime gets a soft limit. Bodies are read in chunks; what nobody needs is not read to its end. Agents bound what their endpoint sends in the same way.

--- a/cmd/arbutus-agent/main.go
+++ b/cmd/arbutus-agent/main.go
@@ -10,6 +10,7 @@
 	"github.com/arbutusline/arbutusline/modules/gossip"
 	"github.com/arbutusline/arbutusline/modules/grpcserver"
 	"github.com/arbutusline/arbutusline/modules/logging"
+	"github.com/arbutusline/arbutusline/modules/memory"
 	"github.com/arbutusline/arbutusline/modules/node"
 	"github.com/arbutusline/arbutusline/modules/objectstore"
 	"github.com/arbutusline/arbutusline/modules/orders"
@@ -22,5 +23,6 @@
 func main() {
 	os.Exit(process.Main("arbutus-agent", "Sidecar of an endpoint: admits requests and runs them on the endpoint.",
 		logging.Name, node.Name, admin.Name, objectstore.Name, grpcserver.Name,
-		gossip.Name, rulespread.Name, engine.Name, runner.Name, orders.Name, peer.Name))
+		// After grpc, so that messages with whole prompts stay possible.
+		memory.Name, gossip.Name, rulespread.Name, engine.Name, runner.Name, orders.Name, peer.Name))
 }
--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -53,6 +53,10 @@
 	"KV cache store reachability changed":         {"address", "down"},
 	"cache namespace of shared parts changed":     {"configuration", "namespace"},
 
+	// Memory.
+	"memory bounded": {"soft_limit_bytes", "endpoints_bytes", "control_bytes"},
+	"response given up because memory for responses is short": {"pool", "held", "wanted", "used"},
+
 	// Limits that endpoints state.
 	"endpoint request limit changed":                  {"endpoint", "limit", "before", "routers", "source"},
 	"ignored malformed request limit":                 {"request", "endpoint", "error"},
--- a/cmd/arbutus-front/main.go
+++ b/cmd/arbutus-front/main.go
@@ -12,6 +12,7 @@
 	"github.com/arbutusline/arbutusline/modules/grpcserver"
 	"github.com/arbutusline/arbutusline/modules/ingress"
 	"github.com/arbutusline/arbutusline/modules/logging"
+	"github.com/arbutusline/arbutusline/modules/memory"
 	"github.com/arbutusline/arbutusline/modules/node"
 	"github.com/arbutusline/arbutusline/modules/relay"
 	"github.com/arbutusline/arbutusline/modules/scheduling"
@@ -25,7 +26,7 @@
 // modules lists the modules of the program in the order in which they start. The server
 // for callers starts last and stops first.
 var modules = []string{
-	logging.Name, node.Name, admin.Name, grpcserver.Name, upstream.Name, directory.Name,
+	logging.Name, node.Name, admin.Name, memory.Name, grpcserver.Name, upstream.Name, directory.Name,
 	streamversions.Name, relay.Name, cacheevents.Name, exchange.Name, upgrade.Name, status.Name, scheduling.Name, ingress.Name,
 }
 
--- a/internal/reference/modules.go
+++ b/internal/reference/modules.go
@@ -16,6 +16,7 @@
 	_ "github.com/arbutusline/arbutusline/modules/ingress"
 	_ "github.com/arbutusline/arbutusline/modules/ledger"
 	_ "github.com/arbutusline/arbutusline/modules/logging"
+	_ "github.com/arbutusline/arbutusline/modules/memory"
 	_ "github.com/arbutusline/arbutusline/modules/node"
 	_ "github.com/arbutusline/arbutusline/modules/objectstore"
 	_ "github.com/arbutusline/arbutusline/modules/orders"
--- a/modules/cacheevents/cacheevents.go
+++ b/modules/cacheevents/cacheevents.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -47,6 +46,9 @@
 	routersPerSource = 5
 	// maxResponseBytes is the maximum size of a response.
 	maxResponseBytes = 4 << 20
+	// decodedEventsExpansion is how many times the length of a response its events need: two
+	// copies of the text, and about twice its length for the events.
+	decodedEventsExpansion = 4
 )
 
 func init() {
@@ -280,6 +282,7 @@
 	if err != nil {
 		return 0, err
 	}
+	defer response.release()
 	restarted := p.bootEpoch != 0 && response.BootEpoch != p.bootEpoch
 	if restarted {
 		c.log.WithFields(logrus.Fields{"endpoint": s.id, "epoch": response.BootEpoch}).Info("engine restarted with an empty cache")
@@ -312,7 +315,13 @@
 	}
 }
 
-func (c *CacheEvents) fetchEvents(ctx context.Context, s eventSource, since uint64, onResponse func()) (platform.CacheEventsResponse, error) {
+// eventsResponse is a response with the memory that it holds until release.
+type eventsResponse struct {
+	platform.CacheEventsResponse
+	release func()
+}
+
+func (c *CacheEvents) fetchEvents(ctx context.Context, s eventSource, since uint64, onResponse func()) (out eventsResponse, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	httpResponse, err := c.upstream.Do(ctx, s.address, &upstream.Request{
@@ -320,23 +329,33 @@
 		Header: platform.CacheEventsRequestHeader(s.expectedEndpointID, longPollWait),
 	})
 	if err != nil {
-		return platform.CacheEventsResponse{}, err
+		return eventsResponse{}, err
 	}
 	defer func() { _ = httpResponse.Body.Close() }() // Close reuses the connection or closes it.
 	onResponse()
-	body, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxResponseBytes))
-	if err != nil {
-		return platform.CacheEventsResponse{}, err
-	}
 	if httpResponse.Status != http.StatusOK {
-		return platform.CacheEventsResponse{}, errors.Newf("request for cache events returned HTTP status %d", httpResponse.Status)
+		httpResponse.Discard()
+		return eventsResponse{}, errors.Newf("request for cache events returned HTTP status %d", httpResponse.Status)
+	}
+	body, err := httpResponse.ReadAll(maxResponseBytes)
+	if err != nil {
+		return eventsResponse{}, err
 	}
 	if e := c.directory.View().EndpointsByID[s.id]; e != nil && platform.Leaving(httpResponse.Header) {
 		c.directory.ObserveLeaving(e)
 	}
-	response, skipped, err := platform.DecodeCacheEvents(body)
+	skipped := 0
+	err = body.Decode(decodedEventsExpansion, func(text []byte) (err error) {
+		out.CacheEventsResponse, skipped, err = platform.DecodeCacheEvents(text)
+		return err
+	})
 	if skipped > 0 {
 		c.eventCounter.WithLabelValues("unreadable").Add(float64(skipped))
 	}
-	return response, err
+	if err != nil {
+		body.Release()
+		return eventsResponse{}, err
+	}
+	out.release = body.Release
+	return out, nil
 }
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -19,6 +19,7 @@
 	"github.com/arbutusline/arbutusline/internal/bootclock"
 	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/modules/admin"
+	"github.com/arbutusline/arbutusline/modules/memory"
 	"github.com/arbutusline/arbutusline/modules/node"
 	"github.com/arbutusline/arbutusline/platform"
 	"github.com/arbutusline/arbutusline/settings"
@@ -189,6 +190,11 @@
 	d.retainedEndpoints, d.decodedEndpoints, d.loggedInvalidRevisions = map[string]retainedEndpoint{}, map[string]decodedEndpoint{}, map[string]uint64{}
 	d.view.Store(&fleet.View{})
 	d.store = platform.NewStoreClient(d.Store)
+	m, err := arbutusline.Lookup[*memory.Memory](k, memory.Name)
+	if err != nil {
+		return err
+	}
+	d.store.Memory = m.Control()
 	d.store.OnCall = d.observeStoreCall
 	d.store.OnEra = d.observeEra
 	d.store.OnInvalidEntry = func(kind string) {
--- a/modules/engine/engine.go
+++ b/modules/engine/engine.go
@@ -19,6 +19,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/decision/bytebudget"
+	"github.com/arbutusline/arbutusline/internal/content"
+	"github.com/arbutusline/arbutusline/modules/memory"
 	"github.com/arbutusline/arbutusline/settings"
 )
 
@@ -39,7 +42,8 @@
 	// ErrConnectionBroken means that the request may have been sent and no
 	// complete answer was received: the request may have run.
 	ErrConnectionBroken = errors.New("the connection to the endpoint broke")
-	// ErrAnswerTooLarge means that the answer exceeds maxAnswerBytes.
+	// ErrAnswerTooLarge means that the answer exceeds maxAnswerBytes or the memory that is left
+	// for answers.
 	ErrAnswerTooLarge = errors.New("the answer of the endpoint is too large")
 )
 
@@ -51,6 +55,7 @@
 const (
 	maxEventBytes  = 1 << 20
 	maxAnswerBytes = 8 << 20
+	maxHeadBytes   = 64 << 10
 )
 
 const (
@@ -81,6 +86,7 @@
 	MaxRunning int `json:"max_running"`
 
 	log              *logrus.Entry
+	memory           *bytebudget.Pool
 	client           *http.Client
 	atMostOnceClient *http.Client
 	info             atomic.Pointer[Info]
@@ -118,16 +124,27 @@
 func (e *Engine) Provision(k *arbutusline.Kernel) error {
 	e.log = k.Log.WithField("module", Name)
 	e.probeRequests = make(chan struct{}, 1)
+	m, err := arbutusline.Lookup[*memory.Memory](k, memory.Name)
+	if err != nil {
+		return err
+	}
+	e.createClients(m.Endpoints())
+	return nil
+}
+
+// createClients creates the HTTP clients, whose responses share the memory.
+func (e *Engine) createClients(memory *bytebudget.Pool) {
+	e.memory = memory
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	e.client = &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 	// The HTTP client repeats a request with an Idempotency-Key header by itself
 	// if a reused connection breaks. It never does so without reused connections.
 	e.atMostOnceClient = &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableKeepAlives: true,
+		DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
-	return nil
 }
 
 // Validate checks the settings.
@@ -278,23 +295,30 @@
 	if c.AtMostOnce {
 		client = e.atMostOnceClient
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	resp, err := e.send(ctx, client, c.Method, e.URL+c.Path, c.Headers, c.Body)
 	if err != nil {
 		return ServiceAnswer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err != nil {
+	body, err := content.Read(resp.Body, resp.ContentLength, e.memory.NewLease(cancel), maxAnswerBytes)
+	switch {
+	case errors.IsAny(err, content.ErrTooLong, bytebudget.ErrExhausted):
+		return ServiceAnswer{}, errors.Mark(err, ErrAnswerTooLarge)
+	case err != nil:
 		return ServiceAnswer{}, errors.Mark(err, ErrConnectionBroken)
 	}
-	if len(body) > maxAnswerBytes {
-		return ServiceAnswer{}, ErrAnswerTooLarge
-	}
+	defer body.Release()
 	headers := map[string]string{}
 	if ct := resp.Header.Get("Content-Type"); ct != "" {
 		headers["Content-Type"] = ct
 	}
-	return ServiceAnswer{Status: resp.StatusCode, Headers: headers, Body: body}, nil
+	answer := ServiceAnswer{Status: resp.StatusCode, Headers: headers}
+	return answer, body.Decode(0, func(text []byte) error {
+		answer.Body = text
+		return nil
+	})
 }
 
 // send sends a request. Its error is ErrNotSent if the request got no connection, and
--- a/modules/engine/poll.go
+++ b/modules/engine/poll.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusline/arbutusline/internal/content"
 )
 
 // Info is the response body of GET /v1/info: the state of an engine.
@@ -57,6 +59,14 @@
 	Blocks      []uint64 `json:"blocks"`
 }
 
+const (
+	// maxPollBytes bounds a response that is read while the engine is polled: a snapshot of
+	// 400,000 cached blocks.
+	maxPollBytes = 8 << 20
+	// polledExpansion is how many times its length a decoded response needs.
+	polledExpansion = 1
+)
+
 // failedPollsUntilDown is the number of consecutive failed polls after which the engine
 // counts as down.
 const failedPollsUntilDown = 3
@@ -243,5 +253,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("GET %s returned status %d", path, resp.StatusCode)
 	}
-	return json.NewDecoder(resp.Body).Decode(dst)
+	body, err := content.Read(resp.Body, resp.ContentLength, e.memory.NewLease(cancel), maxPollBytes)
+	if err != nil {
+		return err
+	}
+	defer body.Release()
+	return body.Decode(polledExpansion, func(text []byte) error { return json.Unmarshal(text, dst) })
 }
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -21,10 +21,12 @@
 
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/api/arbutuspb"
+	"github.com/arbutusline/arbutusline/decision/bytebudget"
 	"github.com/arbutusline/arbutusline/decision/peering"
 	"github.com/arbutusline/arbutusline/modules/admin"
 	"github.com/arbutusline/arbutusline/modules/directory"
 	"github.com/arbutusline/arbutusline/modules/grpcserver"
+	"github.com/arbutusline/arbutusline/modules/memory"
 	"github.com/arbutusline/arbutusline/modules/node"
 	"github.com/arbutusline/arbutusline/modules/relay"
 	"github.com/arbutusline/arbutusline/settings"
@@ -65,6 +67,9 @@
 	// cachedPartsLifetime is how long each message repeats new cached parts, which is
 	// several rounds.
 	cachedPartsLifetime = 500 * time.Millisecond
+	// maxPullBytes is the maximum size of a response with changes of replicas: several times
+	// the largest configuration with the endpoints of the size to design for.
+	maxPullBytes = 4 << 20
 	// maxAskedAtOnce is the number of routers that a router which starts asks in a round.
 	// In the second for which it waits it can ask over sixty.
 	maxAskedAtOnce = 8
@@ -97,6 +102,7 @@
 	node       *node.Node
 	directory  *directory.Directory
 	relay      *relay.Relay
+	memory     *bytebudget.Pool
 	ownAddress string
 	startTime  time.Time
 	cancel     context.CancelFunc
@@ -177,6 +183,11 @@
 	if x.relay, err = arbutusline.Lookup[*relay.Relay](k, relay.Name); err != nil {
 		return err
 	}
+	m, err := arbutusline.Lookup[*memory.Memory](k, memory.Name)
+	if err != nil {
+		return err
+	}
+	x.memory = m.Control()
 	x.calls = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "arbutus_exchange_calls_total", Help: "Exchanges with other routers by result.",
 	}, []string{"result"})
@@ -380,24 +391,32 @@
 }
 
 // beginPulls returns the positions of the replicas for which the next call asks, and a
-// function to call after the changes have been applied.
+// function to call after the changes have been applied. It returns none while there is too
+// little memory for them.
 func (x *Exchange) beginPulls() ([]directory.ReplicaPosition, func()) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
 	now := time.Since(x.startTime)
 	var pulled []directory.ReplicaPosition
+	x.mu.Lock()
 	for _, r := range x.directory.ReplicaPositions() {
 		if x.pulls.Begin(now, r.Kind) {
 			pulled = append(pulled, r)
 		}
 	}
-	return pulled, func() {
+	x.mu.Unlock()
+	lease := x.memory.NewLease(nil)
+	end := func() {
+		lease.Release()
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		for _, r := range pulled {
 			x.pulls.End(r.Kind, now)
 		}
 	}
+	if len(pulled) > 0 && lease.Reserve(maxPullBytes) != nil {
+		end()
+		return nil, func() {}
+	}
+	return pulled, end
 }
 
 // connect returns the connection to a peer and creates it if there is none.
@@ -408,7 +427,7 @@
 		return p.conn, nil
 	}
 	conn, err := grpc.NewClient("passthrough:///"+p.address, grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithNoProxy(), grpc.WithConnectParams(grpc.ConnectParams{
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPullBytes)), grpc.WithNoProxy(), grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: baseConnectBackoff, Multiplier: 1.5, Jitter: 0.2, MaxDelay: maxConnectBackoff},
 			MinConnectTimeout: minConnectTimeout,
 		}))
--- a/modules/grpcserver/grpcserver.go
+++ b/modules/grpcserver/grpcserver.go
@@ -11,9 +11,13 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 
 	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/modules/memory"
 )
 
 // Name is the name of the module.
@@ -21,6 +25,10 @@
 
 const (
 	maxMessageBytes = 16 << 20
+	// maxBoundedCallBytes is the maximum size of a message to a process that bounds its memory
+	// for responses, and what each call reserves there: several times the loads of 2,100
+	// endpoints and the parts of half a second that a router sends at the size to design for.
+	maxBoundedCallBytes = 512 << 10
 	// initialStreamWindowBytes bounds how much a peer may send on one stream before it
 	// is read.
 	initialStreamWindowBytes = 256 << 10
@@ -53,15 +61,31 @@
 // Provision creates the server, so that other modules can register services.
 func (s *Server) Provision(k *arbutusline.Kernel) error {
 	s.log = k.Log.WithField("module", Name)
-	s.server = grpc.NewServer(
-		grpc.MaxRecvMsgSize(maxMessageBytes),
+	s.server = grpc.NewServer(append(s.limitMessages(k),
 		grpc.InitialWindowSize(initialStreamWindowBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minClientPingInterval, PermitWithoutStream: true}),
-	)
+	)...)
 	return nil
 }
 
+// limitMessages returns the options that bound the size of messages and, if the process has
+// loaded the module "memory" before, of all messages together.
+func (s *Server) limitMessages(k *arbutusline.Kernel) []grpc.ServerOption {
+	m, err := arbutusline.Lookup[*memory.Memory](k, memory.Name)
+	if err != nil {
+		return []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessageBytes)}
+	}
+	return []grpc.ServerOption{grpc.MaxRecvMsgSize(maxBoundedCallBytes), grpc.InTapHandle(func(ctx context.Context, _ *tap.Info) (context.Context, error) {
+		lease := m.Control().NewLease(nil)
+		if err := lease.Reserve(maxBoundedCallBytes); err != nil {
+			return nil, status.Error(codes.ResourceExhausted, err.Error())
+		}
+		context.AfterFunc(ctx, lease.Release)
+		return ctx, nil
+	})}
+}
+
 // Registrar returns the registrar on which modules register their services.
 func (s *Server) Registrar() grpc.ServiceRegistrar { return s.server }
 
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -10,10 +10,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/arbutusline/arbutusline/decision/bytebudget"
 	"github.com/arbutusline/arbutusline/decision/overload"
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/decision/strikes"
 	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/content"
 	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/modules/upstream"
 	"github.com/arbutusline/arbutusline/platform"
@@ -106,8 +108,9 @@
 	kind   resultKind
 	status int
 	header http.Header
-	body   []byte
-	err    error
+	// body holds memory until the next attempt or the end of the request.
+	body *content.Content
+	err  error
 	// headReceived is true if the head of a response arrived, and eventCount the number
 	// of complete events that followed it.
 	headReceived bool
@@ -169,6 +172,7 @@
 	defer end(nil)
 	defer r.endAtStop(end)()
 	x.runAttempts(ctx)
+	x.lastResult.body.Release()
 	r.metrics.requests.WithLabelValues(routeKindLabel(req.Route), string(x.report.Outcome)).Inc()
 	return x.report
 }
@@ -225,6 +229,7 @@
 		}
 		x.attempts++
 		x.recordChoice(choice)
+		x.lastResult.body.Release()
 		x.lastResult = x.runAttempt(ctx, choice)
 		if x.lastResult.kind == resultDone || x.lastResult.kind == resultCallerDisconnected {
 			x.setOutcome()
@@ -293,7 +298,7 @@
 		"last_event": x.lastEventID, "configuration": x.req.ConfigurationVersion, "shared_parts": x.formatSharedParts(),
 		"head": x.lastResult.headReceived, "events": x.lastResult.eventCount, "try_ms": x.lastResult.duration.Milliseconds(),
 	}).WithError(x.lastResult.err).Warn("attempt failed")
-	if x.lastResult.kind == resultIncompleteResponse && x.lastResult.eventCount == 0 {
+	if x.lastResult.kind == resultIncompleteResponse && x.lastResult.eventCount == 0 && !errors.Is(x.lastResult.err, bytebudget.ErrExhausted) {
 		x.reportCrash(c.Endpoint.ID)
 		if upstream.ConnectionLost(x.lastResult.err) || errors.IsAny(x.lastResult.err, errTruncatedEvent, errNoEvents) {
 			x.observeCrash(c.Endpoint.ID, x.lastResult.headReceived)
--- a/modules/relay/respond.go
+++ b/modules/relay/respond.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -83,9 +83,9 @@
 // forwardResponse forwards a complete response of an endpoint to the caller.
 func (x *execution) forwardResponse(res result) {
 	x.copyResponseHeader(res.header)
-	x.w.Header().Set("Content-Length", formatContentLength(res.body))
+	x.w.Header().Set("Content-Length", strconv.Itoa(res.body.Len()))
 	x.w.WriteHeader(res.status)
-	if _, err := x.w.Write(res.body); err != nil {
+	if _, err := res.body.WriteTo(x.w); err != nil {
 		x.log().WithError(err).Info("failed to write response to caller")
 	}
 }
@@ -97,12 +97,3 @@
 		h[name] = values
 	}
 }
-
-// readResponseBody reads a response body of at most maxResponseBytes.
-func readResponseBody(body io.Reader) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
-	if err == nil && len(b) > maxResponseBytes {
-		err = errors.New("response body exceeds the size limit")
-	}
-	return b, err
-}
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -66,8 +66,6 @@
 	return weightsVersion, teamNamespace, ok && err == nil
 }
 
-func formatContentLength(b []byte) string { return strconv.Itoa(len(b)) }
-
 // run sends the request to the endpoint and forwards its response to the caller,
 // except for responses after which another endpoint may run the request.
 func (a *attempt) run(ctx context.Context) result {
@@ -88,8 +86,8 @@
 	a.observeWeightsVersion(response)
 	a.observeStatements(request, response)
 	if a.statesNotRun(response) {
-		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
-		return result{kind: resultRefused, status: response.Status, header: response.Header, err: err, wrongEndpoint: a.refusedByOtherEndpoint(response)}
+		response.Discard()
+		return result{kind: resultRefused, status: response.Status, header: response.Header, wrongEndpoint: a.refusedByOtherEndpoint(response)}
 	}
 	if response.Header.Get(platform.HeaderSignature) == "" || response.Header.Get("Content-Encoding") != "" {
 		return result{kind: resultIncompleteResponse, status: response.Status, err: errors.New("response has no endpoint signature or has a content encoding")}
@@ -207,13 +205,18 @@
 // forwardBuffered forwards a response after reading it completely, so that the request
 // can still be retried if the response is incomplete.
 func (a *attempt) forwardBuffered(ctx context.Context, response *upstream.Response) result {
-	body, err := readResponseBody(response.Body)
+	if httpstatus.PromisesNotRun(response.Status) {
+		a.recordPrefillEnded(false)
+		response.Discard()
+		return result{kind: resultErrorResponse, status: response.Status}
+	}
+	body, err := response.ReadAll(maxResponseBytes)
 	if err != nil {
 		return a.resultOfError(ctx, err)
 	}
 	res := result{status: response.Status, header: response.Header, body: body}
 	a.recordPrefillEnded(response.Status < http.StatusBadRequest)
-	if response.Status >= http.StatusInternalServerError || httpstatus.PromisesNotRun(response.Status) {
+	if response.Status >= http.StatusInternalServerError {
 		res.kind = resultErrorResponse
 		return res
 	}
@@ -225,7 +228,7 @@
 
 // forwardStream forwards events as they arrive.
 func (a *attempt) forwardStream(ctx context.Context, response *upstream.Response) result {
-	scanner := sse.NewScanner(response.Body)
+	scanner := sse.NewScanner(response.Body, response.Memory.Grow)
 	for {
 		event, err := scanner.Next()
 		if errors.Is(err, io.EOF) {
--- a/modules/upgrade/change.go
+++ b/modules/upgrade/change.go
@@ -179,7 +179,7 @@
 		u.log.WithError(err).Error("failed to encode weights order")
 		return "", false
 	}
-	status, _, err := u.upstream.CallEngine(ctx, c.endpoint.ID, c.endpoint.Address, http.MethodPost, platform.WeightsOrderPath, body)
+	status, err := u.upstream.CallEngine(ctx, c.endpoint.ID, c.endpoint.Address, http.MethodPost, platform.WeightsOrderPath, body, nil)
 	result = orderResultOf(status, err)
 	u.orderResults.WithLabelValues(string(result)).Inc()
 	u.log.WithFields(logrus.Fields{
--- a/modules/upstream/conn.go
+++ b/modules/upstream/conn.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/arbutusline/arbutusline/decision/bytebudget"
 	"github.com/arbutusline/arbutusline/platform"
 )
 
@@ -48,6 +49,9 @@
 	reader      *bufio.Reader
 	idleSince   time.Time
 	maxIdleTime time.Duration
+	// ctx ends with the context of the current request, or by a call of end.
+	ctx context.Context
+	end context.CancelCauseFunc
 	// stopWatchingContext undoes closeOnContextEnd. It returns false if the context
 	// has already ended.
 	stopWatchingContext func() bool
@@ -72,8 +76,17 @@
 	// still be read for it.
 	limited   bool
 	remaining int
+	// lease holds the memory of a head beyond freeHeadBytes.
+	lease *bytebudget.Lease
 }
 
+// begin limits what is read next to one head, whose memory the lease holds.
+func (l *headLimiter) begin(lease *bytebudget.Lease) {
+	l.limited, l.remaining, l.lease = true, maxHeadBytes, lease
+}
+
+func (l *headLimiter) end() { l.limited, l.lease = false, nil }
+
 var errHeadTooLong = errors.Newf("head of the response exceeds %d bytes", maxHeadBytes)
 
 func (l *headLimiter) Read(p []byte) (int, error) {
@@ -85,13 +98,34 @@
 	}
 	n, err := l.reader.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	if maxHeadBytes-l.remaining > freeHeadBytes {
+		if growErr := l.lease.Grow(headExpansion * n); growErr != nil {
+			return n, growErr
+		}
+	}
 	return n, err
 }
 
 // closeOnContextEnd closes the connection when ctx ends, unless stopWatchingContext is
 // called before.
 func (cn *conn) closeOnContextEnd(ctx context.Context) {
-	cn.stopWatchingContext = context.AfterFunc(ctx, func() { cn.discard() })
+	cn.ctx, cn.end = context.WithCancelCause(ctx)
+	cn.stopWatchingContext = context.AfterFunc(cn.ctx, func() { cn.discard() })
+}
+
+// newLease returns a lease of memory for the response to the current request. The connection is
+// closed if the response must be given up.
+func (cn *conn) newLease() *bytebudget.Lease {
+	end := cn.end
+	return cn.client.memory.NewLease(func() { end(bytebudget.ErrExhausted) })
+}
+
+// explain adds to the error of a connection that it was closed because memory is short.
+func (cn *conn) explain(err error) error {
+	if cause := context.Cause(cn.ctx); errors.Is(cause, bytebudget.ErrExhausted) {
+		return errors.CombineErrors(cause, err)
+	}
+	return err
 }
 
 // discard closes the connection and releases its slot in the pool.
@@ -141,26 +175,30 @@
 	} else {
 		go cn.writeRequest(head, r.Body)
 	}
+	lease := cn.newLease()
 	for range maxMismatchedResponses {
-		cn.limiter.limited, cn.limiter.remaining = true, maxHeadBytes
-		response, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
-		cn.limiter.limited = false
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		if response.Header.Get(platform.HeaderRequestID) == r.ID {
-			return cn.newResponse(response), nil
+		response, err := cn.readHead(r.Method, lease)
+		if err == nil && response.StatusCode >= http.StatusOK {
+			if response.Header.Get(platform.HeaderRequestID) == r.ID {
+				return cn.newResponse(response, lease), nil
+			}
+			err = discardResponse(response)
 		}
-		if err := discardResponse(response); err != nil {
+		lease.Release()
+		if err != nil {
 			return nil, err
 		}
+		lease = cn.newLease()
 	}
 	return nil, errors.New("received only responses to other requests")
 }
 
+func (cn *conn) readHead(method string, lease *bytebudget.Lease) (*http.Response, error) {
+	cn.limiter.begin(lease)
+	defer cn.limiter.end()
+	return http.ReadResponse(cn.reader, &http.Request{Method: method})
+}
+
 func (cn *conn) writeRequest(head, body []byte) {
 	buffers := net.Buffers{head, body}
 	_, err := buffers.WriteTo(cn.netConn)
@@ -180,14 +218,15 @@
 	return err
 }
 
-func (cn *conn) newResponse(r *http.Response) *Response {
+func (cn *conn) newResponse(r *http.Response, lease *bytebudget.Lease) *Response {
 	if d := platform.IdleTimeout(r.Header); d > 0 {
 		cn.maxIdleTime = max(0, d-idleTimeoutMargin)
 	}
 	hasLength := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-	return &Response{Status: r.StatusCode, Header: r.Header, SelfDelimited: hasLength, Body: &responseBody{
-		conn: cn, inner: r.Body, reusable: hasLength && !r.Close,
-	}}
+	body := &responseBody{conn: cn, inner: r.Body, reusable: hasLength && !r.Close, lease: lease}
+	return &Response{
+		Status: r.StatusCode, Header: r.Header, SelfDelimited: hasLength, Body: body, Memory: lease, body: body, length: r.ContentLength,
+	}
 }
 
 // responseBody is the body of a response. Close returns the connection to its pool if
@@ -195,6 +234,8 @@
 type responseBody struct {
 	conn  *conn
 	inner io.ReadCloser
+	// lease is the memory that Close releases, or nil.
+	lease *bytebudget.Lease
 	// reusable is true if the endpoint keeps the connection open after the response.
 	reusable   bool
 	reachedEOF bool
@@ -209,16 +250,30 @@
 		b.reachedEOF = true
 	case err != nil:
 		b.readFailed = true
-		err = errors.Mark(err, ErrIncompleteResponse)
+		err = errors.Mark(b.conn.explain(err), ErrIncompleteResponse)
 	}
 	return n, err
 }
 
+// discard reads the rest of the body for a short time, and leaves the connection to Close. An
+// error means that the connection cannot be used again, which Close sees.
+func (b *responseBody) discard() {
+	if b.conn.netConn.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(b, maxDiscardBytes))
+	if b.conn.netConn.SetReadDeadline(time.Time{}) != nil {
+		b.readFailed = true
+	}
+}
+
 // Close returns the connection to its pool, or closes it if the body was not read to
 // its end or the request was not completely written.
 func (b *responseBody) Close() error {
 	cn := b.conn
+	b.lease.Release()
 	stillOpen := cn.stopWatchingContext()
+	defer cn.end(nil)
 	if !stillOpen || b.readFailed || !b.reachedEOF || !b.reusable || !cn.writeSucceeded() || cn.reader.Buffered() > 0 {
 		cn.discard()
 		return nil
--- a/modules/upstream/endless_test.go
+++ b/modules/upstream/endless_test.go
@@ -7,11 +7,15 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/arbutusline/arbutusline/decision/bytebudget"
 )
 
 // endlessBytes stands for bytes without end: far more than any valid part of a response
@@ -93,3 +97,64 @@
 	assert.Equal(t, int(n), size)
 	assert.NilError(t, response.Body.Close())
 }
+
+// Guards against responses without end that are each within their limit and together exceed the
+// memory of the process, and against sound responses that fail beside them: bodies, heads and
+// chunks of 40 connections at once.
+func TestEndlessResponsesOfAllConnectionsStayWithinTheMemory(t *testing.T) {
+	const limit = 1 << 30
+	filler := strings.Repeat("a", 1000)
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
+	forms := []func(net.Conn, *bufio.Reader){
+		respondEndlessly(head+"\r\n", filler, ""),
+		respondEndlessly(head+"Content-Length: 1000000000\r\n\r\n", filler, ""),
+		respondEndlessly(head+"Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n"+filler+"\r\n", ""),
+		respondEndlessly(head, "X-A: "+filler+"\r\n", ""),
+	}
+	c := newClient()
+	c.memory = bytebudget.New(2<<20, nil)
+	answer := head + "Content-Length: 1\r\n\r\nx"
+	sound, _ := startEndpoint(t, respondWith(slices.Repeat([]string{answer}, 200)...))
+	var endless sync.WaitGroup
+	for n := range 40 {
+		address, _ := startEndpoint(t, forms[n%len(forms)])
+		endless.Go(func() {
+			response, err := c.Do(t.Context(), address, &Request{Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}, ID: "a"})
+			if err == nil {
+				defer func() { assert.NilError(t, response.Body.Close()) }()
+				_, err = response.ReadAll(limit)
+			}
+			assert.Check(t, errors.IsAny(err, bytebudget.ErrExhausted, ErrIncompleteResponse), "form %d: %v", n%len(forms), err)
+		})
+	}
+	for range 200 {
+		body, err := doGet(c, sound, "a")
+		assert.NilError(t, err)
+		assert.Equal(t, body, "x")
+		assert.Assert(t, c.memory.Used() <= c.memory.Capacity())
+	}
+	endless.Wait()
+	assert.Equal(t, c.memory.Used(), int64(0))
+}
+
+// Guards against a sound connection that is lost, or a caller that waits, because nobody needs the
+// body of a response.
+func TestBodyThatNobodyNeedsIsDiscarded(t *testing.T) {
+	head := "HTTP/1.1 503 Busy\r\nRequest-Id: a\r\n"
+	for name, test := range map[string]struct {
+		handle func(net.Conn, *bufio.Reader)
+		kept   bool
+	}{
+		"short":   {respondWith(head + "Content-Length: 4\r\n\r\nbusy"), true},
+		"endless": {respondEndlessly(head+"Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n"+strings.Repeat("a", 1000)+"\r\n", ""), false},
+		"stalled": {respondWith(head + "Content-Length: 5\r\n\r\nbusy"), false},
+	} {
+		address, _ := startEndpoint(t, test.handle)
+		c := newClient()
+		response, err := c.Do(t.Context(), address, &Request{Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}, ID: "a"})
+		assert.NilError(t, err, name)
+		response.Discard()
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, len(c.pools) == 1 && len(c.pools[address].idle) == 1, test.kept, name)
+	}
+}
--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -16,7 +16,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/decision/bytebudget"
+	"github.com/arbutusline/arbutusline/internal/content"
 	"github.com/arbutusline/arbutusline/modules/admin"
+	"github.com/arbutusline/arbutusline/modules/memory"
 	"github.com/arbutusline/arbutusline/settings"
 )
 
@@ -53,6 +56,15 @@
 	// maxMismatchedBodyBytes bounds the body of a response to another request.
 	maxMismatchedBodyBytes = 64 << 10
 	readBufferBytes        = 4 << 10
+	// freeHeadBytes is the part of a head that does not count as memory of the response. Each
+	// connection has a read buffer of that size.
+	freeHeadBytes = readBufferBytes
+	// headExpansion is how many times its length a head needs once it is parsed.
+	headExpansion = 2
+	// maxDiscardBytes and discardTimeout bound how much of a body that nobody needs is read so
+	// that its connection can be used again.
+	maxDiscardBytes = 64 << 10
+	discardTimeout  = 50 * time.Millisecond
 	// maxHeadBytes bounds the head of a response, with the bytes of the body that are read
 	// along with it. Bytes that are no response may come without end.
 	maxHeadBytes = 64 << 10
@@ -80,6 +92,9 @@
 	// shorter time. Default 4s.
 	MaxIdleTime settings.Duration `json:"max_idle"`
 
+	// memory is the memory for responses.
+	memory *bytebudget.Pool
+
 	mu                sync.Mutex
 	pools             map[string]*pool
 	connectionsOpened prometheus.Counter
@@ -110,6 +125,11 @@
 		return err
 	}
 	a.Registry().MustRegister(c.connectionsOpened, c.failures)
+	m, err := arbutusline.Lookup[*memory.Memory](k, memory.Name)
+	if err != nil {
+		return err
+	}
+	c.memory = m.Endpoints()
 	return nil
 }
 
@@ -151,11 +171,34 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// Memory is what the response holds of the memory for responses, such as for a long head.
+	// The reader of the body adds what it keeps. Closing the body releases it, unless ReadAll
+	// has passed it on.
+	Memory *bytebudget.Lease
+
+	body *responseBody
+	// length is the length of the body in bytes, or -1 if it is unknown.
+	length int64
 	// SelfDelimited is false if only the end of the connection ends the body. Its end then
 	// does not show that the endpoint completed it.
 	SelfDelimited bool
 }
 
+// ReadAll reads the body to its end, at most limit bytes. It fails with the errors of Body and
+// those of content.Read. The content must be released.
+func (r *Response) ReadAll(limit int) (*content.Content, error) {
+	r.body.lease = nil
+	return content.Read(r.Body, r.length, r.Memory, limit)
+}
+
+// Discard reads the rest of a body that nobody needs, so that its connection can be used again,
+// unless it is long, late or without a length.
+func (r *Response) Discard() {
+	if r.SelfDelimited {
+		r.body.discard()
+	}
+}
+
 // Do sends the request to the address and returns the response, whose body is not read
 // yet. It fails with ErrNotSent or ErrIncompleteResponse. If ctx ended after the
 // request was sent, the error matches both ErrIncompleteResponse and the error of ctx.
@@ -173,7 +216,9 @@
 	cn.closeOnContextEnd(ctx)
 	response, err := cn.roundTrip(r)
 	if err != nil {
+		err = cn.explain(err)
 		cn.discard()
+		cn.end(nil)
 		c.failures.WithLabelValues("exchange").Inc()
 		if ctx.Err() != nil {
 			err = errors.CombineErrors(ctx.Err(), err)
--- a/modules/upstream/upstream_test.go
+++ b/modules/upstream/upstream_test.go
@@ -15,13 +15,17 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
+	"github.com/arbutusline/arbutusline/decision/bytebudget"
 	"github.com/arbutusline/arbutusline/settings"
 )
 
+// testMemoryBytes is the memory for responses of a client in tests.
+const testMemoryBytes = 16 << 20
+
 func newClient() *Client {
 	return &Client{
 		DialTimeout: settings.Duration(time.Second), AckTimeout: settings.Duration(time.Second),
-		MaxIdleTime: settings.Duration(time.Second), pools: map[string]*pool{},
+		MaxIdleTime: settings.Duration(time.Second), pools: map[string]*pool{}, memory: bytebudget.New(testMemoryBytes, nil),
 		connectionsOpened: prometheus.NewCounter(prometheus.CounterOpts{Name: "opened"}),
 		failures:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "broken"}, []string{"reason"}),
 	}
--- a/sse/sse.go
+++ b/sse/sse.go
@@ -35,11 +35,13 @@
 	buf           []byte
 	consumedBytes int // number of bytes of buf that Next has returned
 	err           error
+	grow          func(bytes int) error
 }
 
-// NewScanner returns a scanner of r.
-func NewScanner(r io.Reader) *Scanner {
-	return &Scanner{r: r, buf: make([]byte, 0, initialBufferBytes)}
+// NewScanner returns a scanner of r. grow is called before the buffer grows by a number of
+// bytes; its error ends the stream. It may be nil.
+func NewScanner(r io.Reader, grow func(bytes int) error) *Scanner {
+	return &Scanner{r: r, buf: make([]byte, 0, initialBufferBytes), grow: grow}
 }
 
 // HasBufferedEvent reports whether Next can return an event without reading.
@@ -81,6 +83,11 @@
 		return ErrEventTooLong
 	}
 	if cap(s.buf)-len(s.buf) < initialBufferBytes/2 {
+		if s.grow != nil {
+			if err := s.grow(cap(s.buf)); err != nil {
+				return err
+			}
+		}
 		larger := make([]byte, len(s.buf), 2*cap(s.buf))
 		copy(larger, s.buf)
 		s.buf = larger
--- a/sse/sse_test.go
+++ b/sse/sse_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"testing/iotest"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -13,7 +14,7 @@
 // when the stream ends within an event.
 func TestOnlyCompleteEvents(t *testing.T) {
 	const text = "id: 1\ndata: a\n\nweight-versions: 2\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata:"
-	s := NewScanner(iotest.OneByteReader(strings.NewReader(text)))
+	s := NewScanner(iotest.OneByteReader(strings.NewReader(text)), nil)
 	var ids []string
 	var passed strings.Builder
 	for {
@@ -32,7 +33,7 @@
 
 // Guards against unbounded memory use when an endpoint never ends an event.
 func TestEndlessEventIsRejected(t *testing.T) {
-	s := NewScanner(strings.NewReader("data: " + strings.Repeat("x", 2*MaxEventBytes)))
+	s := NewScanner(strings.NewReader("data: "+strings.Repeat("x", 2*MaxEventBytes)), nil)
 	_, err := s.Next()
 	assert.ErrorIs(t, err, ErrEventTooLong)
 }
@@ -40,7 +41,7 @@
 // Guards against corrupted events when the buffer grows or is shifted.
 func TestLargeEvents(t *testing.T) {
 	event := "id: 9\ndata: " + strings.Repeat("y", 3*initialBufferBytes) + "\n\n"
-	s := NewScanner(strings.NewReader(strings.Repeat(event, 5)))
+	s := NewScanner(strings.NewReader(strings.Repeat(event, 5)), nil)
 	for range 5 {
 		e, err := s.Next()
 		assert.NilError(t, err)
@@ -54,7 +55,7 @@
 // begin of a line after them for a complete one.
 func TestBlankLinesAfterTheLastEvent(t *testing.T) {
 	for text, incomplete := range map[string]int{"": 0, "\n": 0, "\r\n": 0, "\r": 0, "\nid: 2": len("id: 2"), "id: 2\n": len("id: 2\n")} {
-		s := NewScanner(iotest.OneByteReader(strings.NewReader("id: 1\n\n" + text)))
+		s := NewScanner(iotest.OneByteReader(strings.NewReader("id: 1\n\n"+text)), nil)
 		_, err := s.Next()
 		assert.NilError(t, err)
 		_, err = s.Next()
@@ -67,8 +68,24 @@
 // Guards against taking comments, which also come while a request is queued, for output.
 func TestCommentsAreNoOutput(t *testing.T) {
 	for text, comment := range map[string]bool{":ping\n\n": true, ": a\r\n:b\r\n\r\n": true, "\n\n": true, ":ping\ndata: x\n\n": false, "id: 1\n\n": false} {
-		event, err := NewScanner(strings.NewReader(text)).Next()
+		event, err := NewScanner(strings.NewReader(text), nil).Next()
 		assert.NilError(t, err)
 		assert.Equal(t, event.Comment, comment, "%q", text)
 	}
 }
+
+// Guards against an event whose memory nobody allowed.
+func TestBufferGrowsOnlyAsAllowed(t *testing.T) {
+	denied := errors.New("denied")
+	allowed := 8 * initialBufferBytes
+	grow := func(bytes int) error {
+		if allowed -= bytes; allowed < 0 {
+			return denied
+		}
+		return nil
+	}
+	s := NewScanner(strings.NewReader("data: "+strings.Repeat("x", MaxEventBytes)), grow)
+	_, err := s.Next()
+	assert.ErrorIs(t, err, denied)
+	assert.Assert(t, cap(s.buf) <= 8*initialBufferBytes)
+}
--- a/standin/engine/client_test.go
+++ b/standin/engine/client_test.go
@@ -11,7 +11,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/modules/admin"
 	client "github.com/arbutusline/arbutusline/modules/engine"
+	"github.com/arbutusline/arbutusline/modules/memory"
 	"github.com/arbutusline/arbutusline/settings"
 	"github.com/arbutusline/arbutusline/workload/answer"
 )
@@ -37,8 +39,12 @@
 	s := startEngine(t, nil)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	file, err := settings.Parse([]byte(`{"admin": {"listen": "127.0.0.1:0"}}`))
+	assert.NilError(t, err)
+	kernel := arbutusline.New(file, logrus.NewEntry(log))
+	assert.NilError(t, kernel.Load(admin.Name, memory.Name))
 	agentClient := &client.Engine{URL: s.URL(), PollInterval: settings.Duration(time.Millisecond), MaxRunning: 1}
-	assert.NilError(t, agentClient.Provision(arbutusline.New(settings.File{}, logrus.NewEntry(log))))
+	assert.NilError(t, agentClient.Provision(kernel))
 	o := observer{make(chan client.Info, 9), make(chan []uint64, 9), make(chan client.CacheEventBatch, 9999)}
 	agentClient.Observe(o)
 	assert.NilError(t, agentClient.Start(context.Background()))
