Continue streams without the store only if all routers have promised to change no table

Cause: a router that had lost the store for a second and had contact with any other one took its own table for the newest. That holds only if the store is away for all; otherwise others change the table and begin streams by it. Contact counted from the answer of a router, before its state was taken over, and from any call to the store.

Change: a router without the store answers exchanges with a promise to write no table for 2.5 s, and with the newest table that it knows. Only with the promises of all other registered routers does a router go on by its own table; otherwise it refuses, as not run. Contact counts once a state has been taken over. Each router reads the tables after its start and after 3 s without contact.

--- a/cmd/arbutus-front/joined_test.go
+++ b/cmd/arbutus-front/joined_test.go
@@ -128,3 +128,33 @@
 	second.stop(t)
 	assert.Equal(t, takeUp(c.startRouter(), "-restarted"), len(begun), "a version that has served for long is known after a restart of all routers")
 }
+
+// Guards against a router that alone lacks the store and continues streams by what it knew
+// before, and against refusing to continue streams while no router reaches the store.
+func TestStreamsAreTakenUpWithoutStoreOnlyIfAllRoutersLackIt(t *testing.T) {
+	c := newCluster(t)
+	for i := range 2 {
+		c.versionedEngine(fmt.Sprintf("e%d", i), "v1")
+	}
+	routers := []*testRouter{c.startRouter(), c.startRouter()}
+	c.eventually("streams are served", func() bool { return routers[0].sendPrompt("warm", "/ask/x").status == http.StatusOK })
+	routers[0].beginStream(t, "begun", 3)
+	tries := 0
+	takeUp := func(r *testRouter) int {
+		tries++
+		return r.sendPrompt(fmt.Sprintf("taken-up-%d", tries), "/ask/x", "Last-Event-Id", "3", "Resumes", "begun", "Prefix-Hash", promptParts("begun")).status
+	}
+	for _, r := range routers {
+		assert.Equal(t, takeUp(r), http.StatusOK)
+	}
+	routers[1].storeProxy.MakeUnavailable()
+	for range 15 {
+		assert.Equal(t, takeUp(routers[1]), http.StatusServiceUnavailable, "the other router may have changed the table")
+		assert.Equal(t, takeUp(routers[0]), http.StatusOK)
+		time.Sleep(100 * time.Millisecond)
+	}
+	routers[0].storeProxy.MakeUnavailable()
+	for _, r := range routers {
+		c.eventually("the stream goes on without the store", func() bool { return takeUp(r) == http.StatusOK })
+	}
+}
--- a/decision/versionpin/history_test.go
+++ b/decision/versionpin/history_test.go
@@ -24,7 +24,7 @@
 
 var testConfig = Config{
 	StreamLifetime: lifetime, SpreadTime: 10 * time.Second, OutageSpreadTime: time.Second,
-	MinChangeInterval: time.Second, MinPruneInterval: 3 * time.Second,
+	MinChangeInterval: time.Second, MinPruneInterval: 3 * time.Second, PromiseTime: 2500 * time.Millisecond,
 }
 
 // world is a deployment in virtual time: a store that comes back from copies, routers that
@@ -81,6 +81,9 @@
 	seesAt, flushAt, startedAt, needSince time.Duration
 	capacity                              Capacity
 	loadedRecords                         bool
+	// storeLostTill and cutTill are until when this router alone does not reach the store, and
+	// the other routers.
+	storeLostTill, cutTill time.Duration
 }
 
 // simStream is a stream and, for the oracle, the version of its events.
@@ -106,16 +109,31 @@
 	w.copied = w.store.clone()
 	for i := range routers {
 		w.routers = append(w.routers, &simRouter{index: i})
-		w.start(w.routers[i])
+	}
+	for _, r := range w.routers {
+		w.start(r)
 	}
 	return w
 }
 
 func (w *world) start(r *simRouter) {
-	*r = simRouter{index: r.index, machine: NewMachine(testConfig), records: NewRecords(), alive: true, startedAt: w.now, seesAt: w.now}
+	*r = simRouter{
+		index: r.index, machine: NewMachine(testConfig), records: NewRecords(), alive: true, startedAt: w.now, seesAt: w.now,
+		storeLostTill: r.storeLostTill, cutTill: r.cutTill,
+	}
+	var others []string
+	for _, o := range w.routers {
+		if o != r {
+			others = append(others, fmt.Sprint(o.index))
+		}
+	}
+	r.machine.SetRouters(others)
 }
 
-func (w *world) storeUp() bool { return w.now >= w.downTill }
+// storeUp reports whether a router reaches the store.
+func (w *world) storeUp(r *simRouter) bool { return w.now >= w.downTill && w.now >= r.storeLostTill }
+
+func (w *world) paused(r *simRouter) bool { return w.now < r.seesAt-time.Second }
 
 func (w *world) capacity() Capacity {
 	c := Capacity{}
@@ -130,12 +148,20 @@
 // see lets a router observe the store, or what other routers know while the store is down.
 func (w *world) see(r *simRouter) {
 	r.capacity = w.capacity()
-	if !w.storeUp() {
+	if !w.storeUp(r) {
 		r.machine.ObserveStoreLost(w.now)
 		for range 3 {
-			if o := w.routers[w.rng.IntN(len(w.routers))]; o.alive && o != r {
-				r.machine.ObserveContact(w.now)
-				r.machine.ObserveStored(w.now, o.machine.stored, o.machine.position)
+			o := w.routers[w.rng.IntN(len(w.routers))]
+			if !o.alive || o == r || w.paused(o) || w.now < max(o.cutTill, r.cutTill) {
+				continue
+			}
+			r.machine.ObserveStored(w.now, o.machine.stored, o.machine.position)
+			r.machine.ObserveContact(w.now)
+			if w.storeUp(o) {
+				continue
+			}
+			if p, ok := o.machine.GivePromise(w.now); ok {
+				r.machine.ObservePromise(fmt.Sprint(o.index), w.now, p)
 			}
 		}
 		return
@@ -153,7 +179,9 @@
 	for _, o := range w.routers {
 		alone = alone && (!o.alive || o.machine.Table() == nil)
 	}
-	p, ok := r.machine.Propose(w.now, Circumstances{Capacity: r.capacity, Alone: alone, Restarted: w.now > 3*time.Second})
+	p, ok := r.machine.Propose(w.now, Circumstances{
+		Capacity: r.capacity, Alone: alone, Restarted: w.now > 3*time.Second, RunningFor: w.now - r.startedAt,
+	})
 	if !ok {
 		r.needSince = 0
 		return
@@ -161,7 +189,7 @@
 	if r.needSince == 0 {
 		r.needSince = w.now
 	}
-	if w.now-r.needSince < time.Duration(r.index)*300*time.Millisecond || !w.storeUp() || w.store.tableAt.Revision != p.Position.Revision {
+	if w.now-r.needSince < time.Duration(r.index)*300*time.Millisecond || !w.storeUp(r) || w.store.tableAt.Revision != p.Position.Revision {
 		return
 	}
 	data, err := json.Marshal(p.Table)
@@ -178,7 +206,7 @@
 
 // flush lets a router write its records.
 func (w *world) flush(t *testing.T, r *simRouter) {
-	if !w.storeUp() {
+	if !w.storeUp(r) {
 		return
 	}
 	if !r.loadedRecords {
@@ -206,7 +234,7 @@
 	if v, recorded := r.records.Version(hash); recorded {
 		return v, v != ""
 	}
-	if !w.storeUp() {
+	if !w.storeUp(r) {
 		return "", false
 	}
 	found := NewRecords()
@@ -246,7 +274,7 @@
 // against the oracle.
 func (w *world) takeUp(t *testing.T, seed uint64, s *simStream, r *simRouter) {
 	version, knowledge := r.machine.Resume(w.now, w.now, s.hash)
-	if knowledge == NeedsRead && w.storeUp() {
+	if knowledge == NeedsRead && w.storeUp(r) {
 		w.see(r)
 		version, knowledge = r.machine.Resume(w.now, w.now, s.hash)
 	}
@@ -279,8 +307,8 @@
 		if !r.alive && w.now >= r.startsAt {
 			w.start(r)
 		}
-		if !r.alive || w.now < r.seesAt-time.Second {
-			continue // Down or paused.
+		if !r.alive || w.paused(r) {
+			continue
 		}
 		if w.now >= r.seesAt {
 			w.see(r)
@@ -309,7 +337,7 @@
 func (w *world) advance(t *testing.T, seed uint64, s *simStream) {
 	switch {
 	case s.broken:
-		if r := w.routers[w.rng.IntN(len(w.routers))]; w.now >= s.retryAt && r.alive && w.now >= r.seesAt-time.Second {
+		if r := w.routers[w.rng.IntN(len(w.routers))]; w.now >= s.retryAt && r.alive && !w.paused(r) {
 			w.takeUp(t, seed, s, r)
 		}
 	case !s.router.alive || s.router.startedAt > s.firstAt:
@@ -322,6 +350,8 @@
 		if s.record {
 			s.router.records.Add(s.hash, s.version, w.now+lifetime)
 		}
+	case s.hasEvents && w.happens(w.faults.breakStream):
+		s.broken, s.retryAt = true, w.now
 	}
 }
 
@@ -332,6 +362,9 @@
 	killAll, killOne, pause, release, restore, storeDown int
 	killAfterChange                                      int
 	killOnRestore                                        bool
+	// loseStore and cutOff keep one router alone from the store and from the others, and
+	// breakStream breaks a stream that has begun.
+	loseStore, cutOff, breakStream int
 }
 
 func (w *world) kill(r *simRouter, downtime time.Duration) {
@@ -357,6 +390,12 @@
 		r := w.routers[w.rng.IntN(len(w.routers))]
 		r.seesAt = w.now + time.Second + time.Duration(w.rng.IntN(3500))*time.Millisecond
 	}
+	if w.happens(f.loseStore) {
+		w.routers[w.rng.IntN(len(w.routers))].storeLostTill = w.now + time.Duration(w.rng.IntN(6000))*time.Millisecond
+	}
+	if w.happens(f.cutOff) {
+		w.routers[w.rng.IntN(len(w.routers))].cutTill = w.now + time.Duration(w.rng.IntN(6000))*time.Millisecond
+	}
 	if w.happens(f.release) && w.release == "" {
 		w.releases++
 		w.release = fmt.Sprintf("v%d", w.releases)
@@ -404,7 +443,8 @@
 // Guards against a stream that goes on at another version than that which began it, and
 // against routers that refuse to continue most streams: routers die alone and all at once,
 // pause, and learn of changes late; releases overlap, stop in the middle or happen at once;
-// the store is away or comes back from a copy; streams are taken up again and again.
+// the store is away, for all routers or a single one, or comes back from a copy; a router is cut
+// off from the others; streams break by themselves and are taken up again and again.
 func TestStreamsGoOnAtTheirVersion(t *testing.T) {
 	cases := []struct {
 		name   string
@@ -421,6 +461,11 @@
 		{"routers die after changes", faultRates{pause: 200, release: 400, killAfterChange: 1}, .5},
 		{"more versions than a table names", faultRates{killOne: 100, release: 60, killAfterChange: 2}, 0},
 		{"routers die with the store", faultRates{killOne: 200, release: 300, restore: 400, killOnRestore: true}, 0},
+		{"a router alone loses the store", faultRates{release: 300, loseStore: 150, breakStream: 30}, .5},
+		{"a router alone loses the store, dies or stands still", faultRates{killOne: 300, pause: 150, release: 300, loseStore: 150, breakStream: 30}, .5},
+		{"a router is cut off from store and others", faultRates{pause: 300, release: 300, loseStore: 150, cutOff: 150, breakStream: 30}, .5},
+		{"the store is away for one or all", faultRates{killOne: 400, release: 400, loseStore: 200, cutOff: 300, storeDown: 300, breakStream: 30}, 0},
+		{"the store is away, all routers run", faultRates{release: 500, storeDown: 250, breakStream: 30}, .5},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/decision/versionpin/machine.go
+++ b/decision/versionpin/machine.go
@@ -15,13 +15,16 @@
 	// SpreadTime is the time since the last contact with the store or another router after
 	// which a router begins no streams.
 	SpreadTime time.Duration
-	// OutageSpreadTime is the time since the store was lost after which a router that is in
-	// touch with others has learned of all changes made before.
+	// OutageSpreadTime is the time since the store was lost after which a router has learned
+	// which other routers have registered before.
 	OutageSpreadTime time.Duration
 	// MinChangeInterval is the time between two changes because of shifted capacity, and
 	// MinPruneInterval that since the last change before versions are removed whose streams
 	// have ended.
 	MinChangeInterval, MinPruneInterval time.Duration
+	// PromiseTime is how long a router that does not reach the store writes no table after it
+	// has told another one its own.
+	PromiseTime time.Duration
 }
 
 // minShift is the number of slots by which a version's share may differ from its capacity,
@@ -49,14 +52,92 @@
 	// last read of the table from the store. storeLost is true since storeLostAt.
 	lastContact, confirmedAt, storeLostAt time.Duration
 	storeLost                             bool
+	// confirmed is true once this router has read the table from the store itself.
+	confirmed bool
+	// others are the other routers, or nil until they are known, and promises what they have
+	// promised.
+	others   []string
+	promises map[string]receivedPromise
+	// promisedUntil is until when this router writes no table.
+	promisedUntil time.Duration
+	// unsureOf is the position that a write of this router replaces whose result is not known,
+	// or nil. The store may still execute it.
+	unsureOf *fleet.StorePosition
+	// unsureBefore is true if an earlier write was unsure when the last one began.
+	unsureBefore bool
+}
+
+// Promise is that of a router which does not reach the store, to write no table for
+// Config.PromiseTime. Era and Sequence are those of the newest table that it knows.
+type Promise struct{ Era, Sequence uint64 }
+
+type receivedPromise struct {
+	Promise
+	until time.Duration
 }
 
 // NewMachine returns a Machine that knows no table.
-func NewMachine(cfg Config) *Machine { return &Machine{cfg: cfg} }
+func NewMachine(cfg Config) *Machine {
+	return &Machine{cfg: cfg, promises: map[string]receivedPromise{}}
+}
+
+// SetRouters replaces the names of all other routers that may run.
+func (m *Machine) SetRouters(others []string) { m.others = append([]string{}, others...) }
+
+// GivePromise promises that this router writes no table for some time. It returns false, and
+// promises nothing, if it does not know the table that it or an earlier process of its name has
+// written or used last.
+func (m *Machine) GivePromise(now time.Duration) (Promise, bool) {
+	if m.table == nil || !m.confirmed || m.unsureOf != nil {
+		return Promise{}, false
+	}
+	m.promisedUntil = max(m.promisedUntil, now+m.cfg.PromiseTime)
+	return Promise{Era: m.table.Era, Sequence: m.table.Sequence}, true
+}
+
+// ObservePromise records the promise of another router to a call that began at a time.
+func (m *Machine) ObservePromise(router string, begin time.Duration, p Promise) {
+	if until := begin + m.cfg.PromiseTime; until >= m.promises[router].until {
+		m.promises[router] = receivedPromise{p, until}
+	}
+}
+
+// promisedByAll reports whether no router has begun, or begins before now, a stream by a table
+// that this one does not know. All routers have promised to write none, so that the newest table
+// in the store is that of the router which wrote it, and none of them knows a newer one than
+// this router.
+func (m *Machine) promisedByAll(now time.Duration) bool {
+	if m.table == nil || !m.confirmed || m.unsureOf != nil || m.others == nil {
+		return false
+	}
+	return !slices.ContainsFunc(m.others, func(name string) bool {
+		p := m.promises[name]
+		return now >= p.until || p.Era > m.table.Era || p.Era == m.table.Era && p.Sequence > m.table.Sequence
+	})
+}
+
+// ObserveWriteBegun records that this router writes a proposal. Until it knows the result, or
+// that another table has replaced the one at that position, it promises nothing.
+func (m *Machine) ObserveWriteBegun(p Proposal) {
+	position := p.Position
+	m.unsureBefore, m.unsureOf = m.unsureOf != nil, &position
+}
+
+// ObserveWriteRefused records that the proposal was not written and never will be. Conflict
+// means that another object had replaced the one of the proposal, so that no earlier write of
+// it can succeed either.
+func (m *Machine) ObserveWriteRefused(conflict bool) {
+	if conflict || !m.unsureBefore {
+		m.unsureOf = nil
+	}
+}
 
 // SetStreamLifetime replaces Config.StreamLifetime.
 func (m *Machine) SetStreamLifetime(d time.Duration) { m.cfg.StreamLifetime = d }
 
+// Confirmed reports whether this router has read the table from the store itself.
+func (m *Machine) Confirmed() bool { return m.confirmed }
+
 // Table returns the table in force, or nil if this router knows none.
 func (m *Machine) Table() *Table { return m.table }
 
@@ -75,7 +156,7 @@
 func (m *Machine) ObserveRead(begin, now time.Duration, t *Table, position fleet.StorePosition) {
 	m.ObserveStored(now, t, position)
 	if position.Era == m.era {
-		m.confirmedAt, m.lastContact, m.storeLost = max(m.confirmedAt, begin), now, false
+		m.confirmedAt, m.lastContact, m.storeLost, m.confirmed = max(m.confirmedAt, begin), now, false, true
 	}
 }
 
@@ -88,6 +169,9 @@
 		return
 	}
 	m.era, m.stored, m.position = position.Era, t, position
+	if m.unsureOf != nil && m.unsureOf.Before(position) {
+		m.unsureOf = nil
+	}
 	if t == nil || t.Era < m.era || m.table != nil && m.table.Era == t.Era && m.table.Sequence >= t.Sequence {
 		return
 	}
@@ -171,12 +255,12 @@
 
 // Resume returns the version at which a stream began, if the table tells. The router got the
 // request at arrivedAt: a stream may begin as soon as its router knows of a change of the
-// table, so that this router must have read the table since, or have waited for what the
-// others know after the store was lost.
+// table, so that this router must have read the table since. If the store was lost long enough
+// to have learned of all other routers, it is enough that all of them promise not to change it.
 func (m *Machine) Resume(now, arrivedAt time.Duration, stream uint64) (string, Knowledge) {
-	inTouch := m.storeLost && now-m.storeLostAt >= m.cfg.OutageSpreadTime && now-m.lastContact < m.cfg.OutageSpreadTime
+	unchanged := m.storeLost && now-m.storeLostAt >= m.cfg.OutageSpreadTime && m.promisedByAll(now)
 	switch {
-	case m.confirmedAt < arrivedAt && !inTouch:
+	case m.confirmedAt < arrivedAt && !unchanged:
 		return "", NeedsRead
 	case m.table == nil:
 		return "", NeedsRecord
@@ -215,11 +299,14 @@
 	// Restarted means that the deployment has run before, so that streams may have begun
 	// before the first table.
 	Restarted bool
+	// RunningFor is the time since this process started. One before it may have promised to
+	// write no table.
+	RunningFor time.Duration
 }
 
 // Propose returns the table that should be written now, if any.
 func (m *Machine) Propose(now time.Duration, c Circumstances) (Proposal, bool) {
-	if c.Capacity.total() == 0 {
+	if c.Capacity.total() == 0 || now < m.promisedUntil {
 		return Proposal{}, false
 	}
 	if m.table == nil {
@@ -229,6 +316,9 @@
 		}
 		return Proposal{t, m.position}, c.Alone
 	}
+	if c.RunningFor < m.cfg.PromiseTime {
+		return Proposal{}, false
+	}
 	next := m.table.clone()
 	next.Era = m.era
 	changed := m.stored == nil || m.stored.Era < m.era
@@ -246,7 +336,7 @@
 
 // ObserveWritten records that a proposal was written.
 func (m *Machine) ObserveWritten(now time.Duration, t *Table, position fleet.StorePosition) {
-	m.lastChangeAt = now
+	m.lastChangeAt, m.unsureOf = now, nil
 	m.ObserveStored(now, t, position)
 }
 
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -323,6 +323,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.applyLocked(kind, "list", replica.Delta{At: position, Entries: entries, Complete: true})
+	if kind == KindSoftwareVersions {
+		d.ObserveContact()
+	}
 	d.versionsLoaded = d.versionsLoaded || kind == platform.KindPublishedWeightsVersions
 	return position, nil
 }
@@ -401,6 +404,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.applyLocked(kind, "watch", replica.Delta{At: position, Entries: entries})
+	if kind == KindSoftwareVersions {
+		d.ObserveContact()
+	}
 	return position, nil
 }
 
@@ -435,11 +441,12 @@
 	}
 }
 
-// ObserveContact records that the store or another router has responded.
+// ObserveContact records that the store has told the software versions of streams, or another
+// router all that it knows, and that this router has taken it over.
 func (d *Directory) ObserveContact() { d.lastContact.Store(int64(bootclock.Now())) }
 
-// InTouch reports whether the store or another router has responded within a duration, or
-// whether this router is the only one. It takes no lock.
+// InTouch reports whether there was contact within a duration, or whether this router is the
+// only one. It takes no lock.
 func (d *Directory) InTouch(within time.Duration) bool {
 	return d.RouterCount() == 1 || bootclock.Now()-time.Duration(d.lastContact.Load()) < within
 }
@@ -459,9 +466,6 @@
 }
 
 func (d *Directory) observeStoreCall(operation string, took time.Duration, err error) {
-	if err == nil {
-		d.ObserveContact()
-	}
 	d.storeCalls.WithLabelValues(operation, storeCallResult(err)).Inc()
 	if operation != "watch" {
 		d.storeCallSeconds.WithLabelValues(operation).Observe(took.Seconds())
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -23,12 +23,14 @@
 	"github.com/arbutusline/arbutusline/api/arbutuspb"
 	"github.com/arbutusline/arbutusline/decision/bytebudget"
 	"github.com/arbutusline/arbutusline/decision/peering"
+	"github.com/arbutusline/arbutusline/internal/bootclock"
 	"github.com/arbutusline/arbutusline/modules/admin"
 	"github.com/arbutusline/arbutusline/modules/directory"
 	"github.com/arbutusline/arbutusline/modules/grpcserver"
 	"github.com/arbutusline/arbutusline/modules/memory"
 	"github.com/arbutusline/arbutusline/modules/node"
 	"github.com/arbutusline/arbutusline/modules/relay"
+	"github.com/arbutusline/arbutusline/modules/streamversions"
 	"github.com/arbutusline/arbutusline/settings"
 )
 
@@ -73,6 +75,9 @@
 	// maxAskedAtOnce is the number of routers that a router which starts asks in a round.
 	// In the second for which it waits it can ask over sixty.
 	maxAskedAtOnce = 8
+	// maxCalledWithoutStore is the number of routers that a router which does not reach the store
+	// calls in a round: 380 in two seconds.
+	maxCalledWithoutStore = 24
 	// maxLimitsPerMessage is the maximum number of endpoint limits in a message.
 	maxLimitsPerMessage = 256
 	// maxCrashReportsPerMessage is the maximum number of crash reports in a message.
@@ -102,6 +107,7 @@
 	node       *node.Node
 	directory  *directory.Directory
 	relay      *relay.Relay
+	versions   *streamversions.StreamVersions
 	memory     *bytebudget.Pool
 	ownAddress string
 	startTime  time.Time
@@ -188,6 +194,9 @@
 		return err
 	}
 	x.memory = m.Control()
+	if x.versions, err = arbutusline.Lookup[*streamversions.StreamVersions](k, streamversions.Name); err != nil {
+		return err
+	}
 	x.calls = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "arbutus_exchange_calls_total", Help: "Exchanges with other routers by result.",
 	}, []string{"result"})
@@ -311,6 +320,8 @@
 	case all:
 	case !x.directory.StoreTrusted():
 		ready = x.unaskedLocked(ready)
+	case x.directory.StoreUnreachable():
+		ready = x.longestSilentLocked(ready)
 	default:
 		ready = peering.Choose(ready, x.Fanout, rand.Shuffle)
 	}
@@ -331,6 +342,15 @@
 	return unasked[:min(len(unasked), maxAskedAtOnce)]
 }
 
+// longestSilentLocked returns the routers that have not responded for longest, for a router
+// without the store that needs to know what all others know. The caller holds mu.
+func (x *Exchange) longestSilentLocked(ready []peering.Candidate) []peering.Candidate {
+	slices.SortFunc(ready, func(a, b peering.Candidate) int {
+		return x.peers[a.Address].lastResponseAt.Compare(x.peers[b.Address].lastResponseAt)
+	})
+	return ready[:min(len(ready), max(x.Fanout, maxCalledWithoutStore))]
+}
+
 // Peers returns the other routers, ordered by address.
 func (x *Exchange) Peers() []*arbutuspb.RouterPeer {
 	x.mu.Lock()
@@ -373,6 +393,7 @@
 func (x *Exchange) callPeer(ctx context.Context, p *peer) {
 	conn, err := x.connect(p)
 	var response *arbutuspb.RouterState
+	var begin time.Duration
 	if err == nil {
 		kinds, endPulls := x.beginPulls()
 		defer endPulls()
@@ -382,11 +403,15 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
+		begin = bootclock.Now()
 		response, err = arbutuspb.NewRouterClient(conn).Exchange(ctx, x.buildState(nil, kinds))
 	}
 	x.recordCall(p, err)
 	if err == nil {
 		x.applyState(response)
+		// Contact stands for knowledge, so that it begins when the state has been taken over.
+		x.directory.ObserveContact()
+		x.versions.ObservePromises(response.GetName(), begin, decodePromises(response.GetTablePromises()))
 	}
 }
 
@@ -446,7 +471,6 @@
 	p.callInProgress, p.asked = false, true
 	if err == nil {
 		x.calls.WithLabelValues("ok").Inc()
-		x.directory.ObserveContact()
 		if p.unreachable {
 			x.log.WithField("address", p.address).Info("router reachable again")
 		}
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -10,6 +10,7 @@
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/decision/strikes"
 	"github.com/arbutusline/arbutusline/decision/throttle"
+	"github.com/arbutusline/arbutusline/decision/versionpin"
 	"github.com/arbutusline/arbutusline/fleet"
 	"github.com/arbutusline/arbutusline/modules/directory"
 )
@@ -20,9 +21,21 @@
 	x.addPeerLocked(in.GetAddress())
 	x.mu.Unlock()
 	x.applyState(in)
+	if in.GetStoreLost() {
+		x.versions.CheckStore()
+	}
 	return x.buildState(in, x.directory.ReplicaPositions()), nil
 }
 
+// decodePromises returns the promises in a message by service.
+func decodePromises(list []*arbutuspb.TablePromise) map[string]versionpin.Promise {
+	out := map[string]versionpin.Promise{}
+	for _, p := range list {
+		out[p.GetService()] = versionpin.Promise{Era: p.GetEra(), Sequence: p.GetSequence()}
+	}
+	return out
+}
+
 // buildState returns the state to send to another router, with the positions of the given
 // replicas. In a response, in is the state that the caller sent; in a call it is nil.
 func (x *Exchange) buildState(in *arbutuspb.RouterState, positions []directory.ReplicaPosition) *arbutuspb.RouterState {
@@ -55,6 +68,9 @@
 	out.Named = x.recentPublishTimes()
 	if in != nil {
 		out.Copies = x.replicaDeltas(in.GetPositions())
+		for service, p := range x.versions.Promises() {
+			out.TablePromises = append(out.TablePromises, &arbutuspb.TablePromise{Service: service, Era: p.Era, Sequence: p.Sequence})
+		}
 	}
 	return out
 }
--- a/modules/streamversions/streamversions.go
+++ b/modules/streamversions/streamversions.go
@@ -7,7 +7,10 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,9 +37,15 @@
 	// spreadTime is longer than most outages of the store, in which a router whose peers are
 	// dead goes on to begin streams.
 	spreadTime = 10 * time.Second
-	// outageSpreadTime is the time in which routers tell all others of a change that they
-	// learned of before the store was lost: several rounds of exchanges.
+	// outageSpreadTime is the time in which routers tell all others which routers they know:
+	// several rounds of exchanges.
 	outageSpreadTime = time.Second
+	// promiseTime is the time in which a router without the store asks each of 380 others.
+	promiseTime = 2500 * time.Millisecond
+	// storeCheckInterval bounds how often a router checks whether it reaches the store, because
+	// another one does not, and confirmInterval is the time without contact after which it does.
+	storeCheckInterval = 500 * time.Millisecond
+	confirmInterval    = 3 * time.Second
 	// minChangeInterval and minPruneInterval bound the writes of a table while endpoints are
 	// replaced and after that.
 	minChangeInterval = time.Second
@@ -62,6 +71,8 @@
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 	startedAt  time.Duration
+	// checkedStoreAt is when this router last checked whether it reaches the store.
+	checkedStoreAt atomic.Int64
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -90,6 +101,9 @@
 	// time of the next try.
 	needSince, notBefore time.Duration
 	writing              bool
+	// readFailedAt is when the last failed read of the table ended, or 0 after a successful
+	// one.
+	readFailedAt time.Duration
 	// loggedSequence and loggedEra are those of the last table that was logged.
 	loggedSequence, loggedEra uint64
 	tableRead                 sharedRead
@@ -135,6 +149,7 @@
 func (v *StreamVersions) Start(context.Context) error {
 	v.goroutines.Go(func() {
 		for v.ctx.Err() == nil {
+			v.confirm()
 			v.propose()
 			wait.ForJittered(v.ctx, proposeInterval)
 		}
@@ -176,10 +191,13 @@
 		if s == nil {
 			s = &service{name: name, machine: versionpin.NewMachine(versionpin.Config{
 				SpreadTime: spreadTime, OutageSpreadTime: outageSpreadTime,
-				MinChangeInterval: minChangeInterval, MinPruneInterval: minPruneInterval,
+				MinChangeInterval: minChangeInterval, MinPruneInterval: minPruneInterval, PromiseTime: promiseTime,
 			})}
 			v.services[name] = s
 		}
+		if v.directory.RoutersKnownLocked() {
+			s.machine.SetRouters(slices.Collect(maps.Keys(v.directory.OtherRouterNamesLocked())))
+		}
 		s.machine.SetStreamLifetime(lifetime)
 		v.recordLifetime = max(v.recordLifetime, lifetime+spreadTime)
 		s.capacity = versionpin.Capacity{}
@@ -268,6 +286,7 @@
 		}
 		p, need := s.machine.Propose(t, versionpin.Circumstances{
 			Capacity: s.capacity, Alone: trusted && t-v.startedAt > 2*v.directory.EraWait.AsDuration(), Restarted: restarted,
+			RunningFor: t - v.startedAt,
 		})
 		if !need {
 			s.needSince = 0
@@ -278,6 +297,7 @@
 		}
 		if t-s.needSince >= time.Duration(rank)*rankDelay {
 			s.writing = true
+			s.machine.ObserveWriteBegun(p)
 			v.goroutines.Go(func() { v.writeTable(s, p) })
 		}
 	}
@@ -297,6 +317,12 @@
 	defer v.mu.Unlock()
 	s.writing = false
 	if err != nil {
+		switch {
+		case errors.IsAny(err, platform.ErrConflict, platform.ErrNotFound):
+			s.machine.ObserveWriteRefused(true)
+		case errors.IsAny(err, platform.ErrUnavailable, platform.ErrRateLimited):
+			s.machine.ObserveWriteRefused(false)
+		}
 		s.notBefore = bootclock.Now() + retryDelay
 		v.log.WithError(err).WithFields(logrus.Fields{"service": s.name, "sequence": p.Table.Sequence}).Info("failed to write software versions")
 		return
--- a/modules/streamversions/takeup.go
+++ b/modules/streamversions/takeup.go
@@ -83,15 +83,18 @@
 	o, err := v.store.Get(v.ctx, directory.KindSoftwareVersions, s.name)
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	s.readFailedAt = 0
 	switch {
 	case err == nil:
 		s.machine.ObserveRead(begin, bootclock.Now(), v.decodeTable(s.name, o.Spec), o.Position())
 	case errors.Is(err, platform.ErrNotFound):
 		s.machine.ObserveRead(begin, bootclock.Now(), nil, fleet.StorePosition{Era: o.Era})
 	default:
+		s.readFailedAt = bootclock.Now()
 		s.machine.ObserveStoreLost(bootclock.Now())
 		return err
 	}
+	v.directory.ObserveContact()
 	v.logTableLocked(s)
 	return nil
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -206,6 +206,23 @@
 			e.restart(duration)
 		}
 	},
+	// A router alone loses the store while an engine is replaced by one of another software
+	// version and streams break.
+	func(d *deployment, target int, duration time.Duration) {
+		engine := func(i int) *endpoint { return d.engineEndpoints[i%len(d.engineEndpoints)] }
+		var impaired sync.WaitGroup
+		impaired.Go(func() {
+			d.impairProxy("store connections through", d.routerAt(target).storeProxy, "", target, duration+time.Second)
+		})
+		engine(target+1).current().InjectFault(3, platform.FaultTruncatedResponse)
+		if e := engine(target); e.interruptMu.TryLock() {
+			d.recordFault("release at "+e.name, "", false, duration)
+			e.release()
+			e.restart(duration / 4)
+			e.interruptMu.Unlock()
+		}
+		impaired.Wait()
+	},
 	func(d *deployment, target int, duration time.Duration) {
 		e := d.endpointAt(target)
 		kind := endpointFaults[target%len(endpointFaults)]
