Close idle connections to endpoints without waiting for another request

Cause: connections that had been idle for too long were closed when the next request took them from the pool of their address. To an endpoint that is gone there is no next request; the function that would close them had no caller.

Change: the client closes them each second. It opens no more connections than before, as it did not use these any more.

--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -18,6 +18,7 @@
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/decision/bytebudget"
 	"github.com/arbutusline/arbutusline/internal/content"
+	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/modules/admin"
 	"github.com/arbutusline/arbutusline/modules/memory"
 	"github.com/arbutusline/arbutusline/settings"
@@ -65,6 +66,9 @@
 	// that its connection can be used again.
 	maxDiscardBytes = 64 << 10
 	discardTimeout  = 50 * time.Millisecond
+	// expiryInterval is the time between two searches for connections that have been idle for
+	// too long: short against MaxIdleTime, after which they are not used any more.
+	expiryInterval = time.Second
 	// maxHeadBytes bounds the head of a response, with the bytes of the body that are read
 	// along with it. Bytes that are no response may come without end.
 	maxHeadBytes = 64 << 10
@@ -95,6 +99,9 @@
 	// memory is the memory for responses.
 	memory *bytebudget.Pool
 
+	cancel     context.CancelFunc
+	goroutines sync.WaitGroup
+
 	mu                sync.Mutex
 	pools             map[string]*pool
 	connectionsOpened prometheus.Counter
@@ -141,6 +148,29 @@
 	return nil
 }
 
+// Start starts to close the connections that have been idle for too long. No next request finds
+// those to an endpoint that is gone.
+func (c *Client) Start(context.Context) error {
+	var ctx context.Context
+	ctx, c.cancel = context.WithCancel(context.Background())
+	c.goroutines.Go(func() {
+		for ctx.Err() == nil {
+			wait.For(ctx, expiryInterval)
+			c.closeExpiredConns()
+		}
+	})
+	return nil
+}
+
+// Stop ends the goroutine of Start.
+func (c *Client) Stop(context.Context) error {
+	if c.cancel != nil {
+		c.cancel()
+	}
+	c.goroutines.Wait()
+	return nil
+}
+
 // Request is one request to an endpoint.
 type Request struct {
 	Method string
@@ -328,8 +358,8 @@
 	p.idle = append(p.idle, cn)
 }
 
-// CloseExpiredConns closes the connections that have been idle for too long.
-func (c *Client) CloseExpiredConns() {
+// closeExpiredConns closes the connections that have been idle for too long.
+func (c *Client) closeExpiredConns() {
 	for _, cn := range c.removeExpired() {
 		cn.discard()
 	}
