--- a/decision/versionpin/machine.go
+++ b/decision/versionpin/machine.go
@@ -22,7 +22,7 @@
 	// MinPruneInterval that since the last change before versions are removed whose streams
 	// have ended.
 	MinChangeInterval, MinPruneInterval time.Duration
-	// PromiseTime is how long a router that does not reach the store writes no table after it
+	// PromiseTime is how long a router that does not reach the store changes no table after it
 	// has told another one its own.
 	PromiseTime time.Duration
 }
@@ -58,7 +58,7 @@
 	// promised.
 	others   []string
 	promises map[string]receivedPromise
-	// promisedUntil is until when this router writes no table.
+	// promisedUntil is until when this router changes no table.
 	promisedUntil time.Duration
 	// unsureOf is the position that a write of this router replaces whose result is not known,
 	// or nil. The store may still execute it.
@@ -67,7 +67,7 @@
 	unsureBefore bool
 }
 
-// Promise is that of a router which does not reach the store, to write no table for
+// Promise is that of a router which does not reach the store, to change no table for
 // Config.PromiseTime. Era and Sequence are those of the newest table that it knows.
 type Promise struct{ Era, Sequence uint64 }
 
@@ -84,7 +84,7 @@
 // SetRouters replaces the names of all other routers that may run.
 func (m *Machine) SetRouters(others []string) { m.others = append([]string{}, others...) }
 
-// GivePromise promises that this router writes no table for some time. It returns false, and
+// GivePromise promises that this router changes no table for some time. It returns false, and
 // promises nothing, if it does not know the table that it or an earlier process of its name has
 // written or used last.
 func (m *Machine) GivePromise(now time.Duration) (Promise, bool) {
@@ -103,7 +103,7 @@
 }
 
 // promisedByAll reports whether no router has begun, or begins before now, a stream by a table
-// that this one does not know. All routers have promised to write none, so that the newest table
+// that this one does not know. All routers have promised to change none, so that the newest table
 // in the store is that of the router which wrote it, and none of them knows a newer one than
 // this router.
 func (m *Machine) promisedByAll(now time.Duration) bool {
@@ -300,13 +300,13 @@
 	// before the first table.
 	Restarted bool
 	// RunningFor is the time since this process started. One before it may have promised to
-	// write no table.
+	// change no table.
 	RunningFor time.Duration
 }
 
 // Propose returns the table that should be written now, if any.
 func (m *Machine) Propose(now time.Duration, c Circumstances) (Proposal, bool) {
-	if c.Capacity.total() == 0 || now < m.promisedUntil {
+	if c.Capacity.total() == 0 {
 		return Proposal{}, false
 	}
 	if m.table == nil {
@@ -316,12 +316,13 @@
 		}
 		return Proposal{t, m.position}, c.Alone
 	}
-	if c.RunningFor < m.cfg.PromiseTime {
-		return Proposal{}, false
-	}
 	next := m.table.clone()
 	next.Era = m.era
 	changed := m.stored == nil || m.stored.Era < m.era
+	if now < m.promisedUntil || c.RunningFor < m.cfg.PromiseTime {
+		// The same table may be written again in a new era of the store.
+		return Proposal{next, m.position}, changed
+	}
 	unchangedFor := now - m.lastChangeAt
 	// Only the table in force tells which slots may be pruned, so that this comes first.
 	if unchangedFor >= m.cfg.MinPruneInterval && m.prune(now, next) {
--- a/decision/versionpin/machine_test.go
+++ b/decision/versionpin/machine_test.go
@@ -181,4 +181,8 @@
 	changed.RunningFor = second
 	_, proposes = m.Propose(time.Minute, changed)
 	assert.Assert(t, !proposes, "the process before may have promised")
+	m.ObserveStored(time.Minute, proposal.Table, fleet.StorePosition{Era: 2, Revision: 5})
+	again, proposes := m.Propose(time.Minute, changed)
+	assert.Assert(t, proposes, "a restored store gets the table again at once")
+	assert.DeepEqual(t, again.Table.Shares(), proposal.Table.Shares())
 }
--- a/modules/streamversions/promises.go
+++ b/modules/streamversions/promises.go
@@ -7,7 +7,7 @@
 	"github.com/arbutusline/arbutusline/internal/bootclock"
 )
 
-// Promises promises to another router that this one writes no tables for some time. It returns
+// Promises promises to another router that this one changes no tables for some time. It returns
 // the newest table that this router knows of each service, and none while it reaches the store.
 func (v *StreamVersions) Promises() map[string]versionpin.Promise {
 	unreachable := v.directory.StoreUnreachable()
--- a/modules/streamversions/records.go
+++ b/modules/streamversions/records.go
@@ -24,6 +24,9 @@
 	flushIntervalPerRouter = 10 * time.Millisecond
 	minFlushInterval       = 250 * time.Millisecond
 	maxFlushInterval       = time.Second
+	// eraCheckInterval is the time between two looks whether the store has come back from a copy
+	// without records that it had acknowledged. Routers may lose power just after that.
+	eraCheckInterval = 40 * time.Millisecond
 	// maxRecords bounds the size of a router's object to about 64 kB. It is the number of
 	// streams that a router begins at 200 a second while it keeps them.
 	maxRecords = 6000
@@ -39,9 +42,16 @@
 }
 
 func (v *StreamVersions) flushPeriodically() {
+	var era uint64
+	pause := v.flushInterval()
 	for v.ctx.Err() == nil {
-		wait.ForJittered(v.ctx, min(maxFlushInterval, max(minFlushInterval, time.Duration(v.directory.RouterCount())*flushIntervalPerRouter)))
+		var restored bool
+		era, restored = v.waitForFlush(pause, era)
+		pause = v.flushInterval()
 		v.mu.Lock()
+		if restored && v.records.Len() > 0 {
+			v.records.MarkChanged() // The copy may lack what was written.
+		}
 		v.records.Expire(bootclock.Now())
 		changed := v.records.TakeChanged()
 		v.mu.Unlock()
@@ -53,9 +63,26 @@
 			v.mu.Lock()
 			v.records.MarkChanged()
 			v.mu.Unlock()
-			wait.ForJittered(v.ctx, retryDelay)
+			pause = retryDelay
+		}
+	}
+}
+
+// flushInterval returns the time between two writes of new records.
+func (v *StreamVersions) flushInterval() time.Duration {
+	return min(maxFlushInterval, max(minFlushInterval, time.Duration(v.directory.RouterCount())*flushIntervalPerRouter))
+}
+
+// waitForFlush waits for a duration, or until the store has come back from a copy since the
+// given era. It returns the store's era, 0 if it is not known yet.
+func (v *StreamVersions) waitForFlush(d time.Duration, era uint64) (now uint64, restored bool) {
+	for end := bootclock.Now() + d; bootclock.Now() < end && v.ctx.Err() == nil; {
+		wait.ForJittered(v.ctx, eraCheckInterval)
+		if now = v.directory.StoreEra(); era > 0 && now != era {
+			return now, true
 		}
 	}
+	return now, false
 }
 
 // flush writes the records. Before the first write it takes over those that this router
