Call only as many routers without the store as two seconds need

A router without the store called up to 24 others every 120 ms for their promises, also where 5 a round reach all 68 within the time that promises last. Found by reading: 200 calls a second exceed the processor time of the smallest routers of the large deployment (.144 cores). Now the number follows that of the routers; checks of the store for others are made once a second.

--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -75,9 +76,9 @@
 	// maxAskedAtOnce is the number of routers that a router which starts asks in a round.
 	// In the second for which it waits it can ask over sixty.
 	maxAskedAtOnce = 8
-	// maxCalledWithoutStore is the number of routers that a router which does not reach the store
-	// calls in a round: 380 in two seconds.
-	maxCalledWithoutStore = 24
+	// coverTime is the time in which a router that does not reach the store calls each of the
+	// others. Their promises last a little longer.
+	coverTime = 2 * time.Second
 	// maxLimitsPerMessage is the maximum number of endpoint limits in a message.
 	maxLimitsPerMessage = 256
 	// maxCrashReportsPerMessage is the maximum number of crash reports in a message.
@@ -348,7 +349,8 @@
 	slices.SortFunc(ready, func(a, b peering.Candidate) int {
 		return x.peers[a.Address].lastResponseAt.Compare(x.peers[b.Address].lastResponseAt)
 	})
-	return ready[:min(len(ready), max(x.Fanout, maxCalledWithoutStore))]
+	perRound := int(math.Ceil(float64(len(x.peers)) * x.Interval.AsDuration().Seconds() / coverTime.Seconds()))
+	return ready[:min(len(ready), max(x.Fanout, perRound))]
 }
 
 // Peers returns the other routers, ordered by address.
--- a/modules/streamversions/streamversions.go
+++ b/modules/streamversions/streamversions.go
@@ -44,7 +44,7 @@
 	promiseTime = 2500 * time.Millisecond
 	// storeCheckInterval bounds how often a router checks whether it reaches the store, because
 	// another one does not, and confirmInterval is the time without contact after which it does.
-	storeCheckInterval = 500 * time.Millisecond
+	storeCheckInterval = time.Second
 	confirmInterval    = 3 * time.Second
 	// minChangeInterval and minPruneInterval bound the writes of a table while endpoints are
 	// replaced and after that.
