Notice the loss of the store before the first take-up, and shorten cache namespaces

Streams that callers take up in the first second of an outage of the store were refused by every router: a machine learned of the outage from its first failed read, which is a take-up's, and waited a second from then.

The namespace of the teams that share is repeated in each cache event; its digest takes 8 characters in place of 16. Not measured by itself.

--- a/decision/sharing/sharing.go
+++ b/decision/sharing/sharing.go
@@ -23,8 +23,9 @@
 const sharedPrefix = "*"
 
 // sharedDigestBytes is the length of the digest in the namespace of the teams that share parts.
-// 12 bytes make equal digests of two sets of teams improbable, and 16 characters.
-const sharedDigestBytes = 12
+// Each cache event repeats the namespace. 6 bytes take 8 characters, and two of 1,000 sets of
+// isolated teams have the same digest with a probability of 2e-9.
+const sharedDigestBytes = 6
 
 // Domains divides the teams of one configuration by the cached parts that they may use. It does
 // not change after New and is safe for concurrent use.
--- a/decision/versionpin/machine.go
+++ b/decision/versionpin/machine.go
@@ -16,7 +16,7 @@
 	// which a router begins no streams.
 	SpreadTime time.Duration
 	// OutageSpreadTime is the time since the store was lost after which a router has learned
-	// which other routers have registered before.
+	// which other routers may have changed a table: all that have run for PromiseTime.
 	OutageSpreadTime time.Duration
 	// MinChangeInterval is the time between two changes because of shifted capacity, and
 	// MinPruneInterval that since the last change before versions are removed whose streams
--- a/modules/streamversions/streamversions.go
+++ b/modules/streamversions/streamversions.go
@@ -37,9 +37,9 @@
 	// spreadTime is longer than most outages of the store, in which a router whose peers are
 	// dead goes on to begin streams.
 	spreadTime = 10 * time.Second
-	// outageSpreadTime is the time in which routers tell all others which routers they know:
-	// several rounds of exchanges.
-	outageSpreadTime = time.Second
+	// outageSpreadTime is the time in which a router that was out of step learns from others
+	// which routers have registered: several rounds of exchanges.
+	outageSpreadTime = 500 * time.Millisecond
 	// promiseTime is the time in which a router without the store asks each of 380 others.
 	promiseTime = 2500 * time.Millisecond
 	// storeCheckInterval bounds how often a router checks whether it reaches the store, because
@@ -277,10 +277,14 @@
 // propose writes the tables that have to change, if it is this router's turn.
 func (v *StreamVersions) propose() {
 	rank, trusted, restarted := v.directory.WatchRank(), v.directory.StoreTrusted(), v.directory.RanBefore()
+	unreachable := v.directory.StoreUnreachable()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, s := range v.services {
 		t := bootclock.Now()
+		if unreachable {
+			s.machine.ObserveStoreLost(t)
+		}
 		if s.writing || t < s.notBefore {
 			continue
 		}
