Let the ambiguous write of a test reach the kernel before it is cancelled

Cause, by its goroutines and the transport's source: the trace WroteRequest comes before the transport flushes its buffer, so that the cancellation could close the connection with the write still in it; the server then never gets what the test waits for. The client's answer, ambiguous, was right.

--- a/modules/objectstore/client_test.go
+++ b/modules/objectstore/client_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"net/http/httptrace"
 	"strings"
 	"testing"
 	"time"
@@ -162,6 +161,20 @@
 	}
 }
 
+// observedConn calls onWrite after the kernel has taken over what was written. The trace
+// WroteRequest comes before the transport flushes its buffer.
+type observedConn struct {
+	net.Conn
+	onWrite func()
+}
+
+// Write implements net.Conn.
+func (c *observedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.onWrite()
+	return n, err
+}
+
 // Guards against sending a write to another address, or reporting it as rejected, when
 // the call ends after the connection was opened and before the server has read the
 // request. The server runs such a write late.
@@ -176,9 +189,10 @@
 	client.CallTimeout = settings.Duration(time.Minute)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteRequest: func(httptrace.WroteRequestInfo) { cancel() },
-	})
+	client.httpClient.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return &observedConn{conn, cancel}, err
+	}
 	_, err = client.Put(ctx, "k", []byte("v"), 3)
 	assert.ErrorIs(t, err, objectstore.ErrAmbiguous)
 	assert.Equal(t, len(calls), 0, "the write was sent to the other address")
