Show a router that waits for watchers which hear nothing from the store

Two of four routers watch the store and no longer get its responses, but go on answering the others' calls. The other two reach the store and do not read it. On this code the test fails: no router reads the change itself.

--- a/cmd/arbutus-front/cluster_test.go
+++ b/cmd/arbutus-front/cluster_test.go
@@ -34,6 +34,8 @@
 	relaySettings string
 	// eraWait is how long a router that starts asks the others for their configuration.
 	eraWait string
+	// directorySettings are further settings of the module directory in JSON, or empty.
+	directorySettings string
 	// linger is how long a router that stops still accepts connections.
 	linger string
 }
@@ -105,11 +107,11 @@
 		"node": {"id": "front-%d", "role": "router", "zone": "a"},
 		"admin": {"listen": "%s:%s"},
 		"grpc": {"listen": "%s:%s"},
-		"directory": {"store": %q, "advertise": "%s:%s", "era_wait": %q},
+		"directory": {"store": %q, "advertise": "%s:%s", "era_wait": %q%s},
 		"upgrade": {"holder": %q, "turn_pause": "300ms"},
 		"relay": {%s},
 		"ingress": {"listen": "%s:%s", "linger": %q, "start_wait": "30s"}
-	}`, routerNumber, r.ip, ports[1], r.ip, ports[2], storeAddress, r.ip, ports[2], c.eraWait, r.ip, c.relaySettings, r.ip, ports[0], c.linger)
+	}`, routerNumber, r.ip, ports[1], r.ip, ports[2], storeAddress, r.ip, ports[2], c.eraWait, c.directorySettings, r.ip, c.relaySettings, r.ip, ports[0], c.linger)
 	file, err := settings.Parse([]byte(text))
 	assert.NilError(c.t, err)
 	log := logrus.New()
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -388,7 +388,10 @@
 	// not paused.
 	resumed chan struct{}
 	// pausedKind restricts the pause to requests about a kind of objects. Empty for all.
-	pausedKind  string
+	pausedKind string
+	// silence holds back the responses to pending and later requests until it is closed. It
+	// is nil while responses get through.
+	silence     chan struct{}
 	cancelFuncs map[*http.Request]context.CancelFunc
 }
 
@@ -422,6 +425,51 @@
 	}
 }
 
+// Silence holds back the responses to pending and later requests until EndSilence, as a
+// network that drops packets in one direction does.
+func (p *StoreProxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silence = make(chan struct{})
+}
+
+// EndSilence lets the responses through that Silence holds back.
+func (p *StoreProxy) EndSilence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silence != nil {
+		close(p.silence)
+		p.silence = nil
+	}
+}
+
+// waitForSilence waits until no response is held back or ctx is done.
+func (p *StoreProxy) waitForSilence(ctx context.Context) {
+	p.mu.Lock()
+	silence := p.silence
+	p.mu.Unlock()
+	if silence == nil {
+		return
+	}
+	select {
+	case <-silence:
+	case <-ctx.Done():
+	}
+}
+
+// silencedWriter waits for the end of a silence before it writes a response.
+type silencedWriter struct {
+	http.ResponseWriter
+	proxy   *StoreProxy
+	request *http.Request
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *silencedWriter) WriteHeader(status int) {
+	w.proxy.waitForSilence(w.request.Context())
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // ServeHTTP passes a request to the store.
 func (p *StoreProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithCancel(r.Context())
@@ -453,5 +501,5 @@
 		defer p.mu.Unlock()
 		delete(p.cancelFuncs, r)
 	}()
-	p.Store.ServeHTTP(w, r.WithContext(ctx))
+	p.Store.ServeHTTP(&silencedWriter{w, p, r}, r.WithContext(ctx))
 }
