Read the store itself when a replica was not confirmed lately

Six routers watch the store and the others wait for them; who watches is decided by who answers calls and does not say that it lost the store, and neither is knowledge of changes.

Each replica now carries as of when it is known to lack nothing: the begin of a call to the store, or of a call to another router less the age that it states in its response. A router whose replica reaches a share of the deadline reads the changes with one call, the first router by rank soonest, so that one read normally serves all. The stagger of watch timeouts, which found dropped histories, is replaced by these reads. While the configuration in force may have been replaced for longer than the deadline, a route or key that it lacks is answered 503, not 404 or 401. Refusals log position, era, source, age and whether the router watches; metrics have version and age. The same holds for endpoints, published weights versions and software versions.

The soak judges final refusals by a replaced configuration, writes an invalid one and, in a third of its seeds, lets one router watch.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -26,8 +26,10 @@
 // "arbutusctl explain" and operators need them to explain failures.
 var requiredFields = map[string][]string{
 	// Requests.
-	"request refused": {"request", "host", "path", "status", "reason", "configuration"},
-	"request ended":   {"request", "route", "team", "outcome", "tries", "endpoint", "configuration", "sent_ms", "first_ms", "took_ms"},
+	"request refused": {
+		"request", "host", "path", "status", "reason", "configuration", "revision", "era", "source", "age_ms", "watching",
+	},
+	"request ended": {"request", "route", "team", "outcome", "tries", "endpoint", "configuration", "sent_ms", "first_ms", "took_ms"},
 	"attempt failed": {
 		"request", "route", "service", "endpoint", "address", "software", "try", "result", "status", "weights", "cost_ms", "age_ms",
 		"left_ms", "last_event", "configuration", "shared_parts", "head", "events", "try_ms", "error",
--- a/cmd/arbutus-front/staleness_test.go
+++ b/cmd/arbutus-front/staleness_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/modules/directory"
 )
@@ -56,3 +59,39 @@
 		})
 	}
 }
+
+// Guards against final refusals by a router that reaches neither the store nor other routers and
+// cannot know whether a newer configuration has the route or the key.
+func TestUnconfirmedConfigurationRefusesNothingForGood(t *testing.T) {
+	c := newCluster(t)
+	c.directorySettings = `, "configuration_deadline": "1s"`
+	c.startEndpoint(appEndpoint("a1"))
+	r := c.startRouter()
+	unknownRoute := func() int { return r.send("r", http.MethodGet, "/nowhere/", "").status }
+	unknownKey := func() int { return r.send("k", http.MethodGet, "/look/x", "", "Authorization", "Token nobody").status }
+	c.eventually("the refusals are final", func() bool { return unknownRoute() == http.StatusNotFound && unknownKey() == http.StatusUnauthorized })
+	r.storeProxy.Silence()
+	c.eventually("the refusals leave it open", func() bool {
+		return unknownRoute() == http.StatusServiceUnavailable && unknownKey() == http.StatusServiceUnavailable
+	})
+	assert.Equal(t, r.send("known", http.MethodGet, "/look/x", "").status, http.StatusOK)
+	r.storeProxy.EndSilence()
+	c.eventually("the refusals are final again", func() bool { return unknownRoute() == http.StatusNotFound })
+}
+
+// Guards against a store that came back from a copy and confirms the configuration of the copy to
+// a router that had missed the one which the store lost.
+func TestRestoredStoreDoesNotConfirmWhatItLost(t *testing.T) {
+	c := newCluster(t)
+	c.startEndpoint(appEndpoint("a1"))
+	r := c.startRouter()
+	copied := c.store.Copy()
+	r.storeProxy.Silence()
+	c.putConfiguration(2, nil)
+	c.store.Restore(copied)
+	r.storeProxy.EndSilence()
+	c.eventually("the router knows the era", func() bool { return r.directory().StoreEra() == 2 })
+	assert.Equal(t, r.send("missed", http.MethodGet, "/cfg/2/x", "").status, http.StatusServiceUnavailable)
+	c.store.Rewrite()
+	c.eventually("the configuration is in force", func() bool { return r.serves(2) })
+}
--- a/modules/directory/configuration.go
+++ b/modules/directory/configuration.go
@@ -24,6 +24,10 @@
 	configuration *fleet.Configuration
 	// spec is its encoding in the store.
 	spec []byte
+	// position is that of the object when this router learned of it, without a revision if
+	// the store's copy lacked it. source is how it learned.
+	position fleet.StorePosition
+	source   string
 	// inReplica is true if the replica of the store holds it.
 	inReplica bool
 }
@@ -58,6 +62,7 @@
 		return c.Version == d.active.configuration.Version
 	}
 	d.active.configuration, d.active.spec = c, spec
+	d.active.position, d.active.source = fleet.StorePosition{Era: d.storeEra, Revision: revision}, source
 	log.WithField("version", c.Version).Info("configuration applied")
 	return true
 }
--- /dev/null
+++ b/modules/directory/confirmation_test.go
@@ -0,0 +1,103 @@
+package directory
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/decision/replica"
+	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/bootclock"
+	"github.com/arbutusline/arbutusline/platform"
+	"github.com/arbutusline/arbutusline/settings"
+	standin "github.com/arbutusline/arbutusline/standin/platform"
+)
+
+func newDirectory(t *testing.T) *Directory {
+	file, err := settings.Parse([]byte(`{
+		"admin": {"listen": "127.0.0.1:0"}, "directory": {"store": "127.0.0.1:1", "advertise": "127.0.0.1:2"},
+		"node": {"id": "r", "role": "router", "zone": "a"}
+	}`))
+	assert.NilError(t, err)
+	k := arbutusline.New(file, logrus.NewEntry(logrus.New()))
+	assert.NilError(t, k.Load("admin", "node", "memory", Name))
+	d, err := arbutusline.Lookup[*Directory](k, Name)
+	assert.NilError(t, err)
+	return d
+}
+
+// Guards against a router that takes the newest position it hears of for its own: it would count
+// as up to date while it lacks the changes.
+func TestStatementAboutANewerReplicaConfirmsNothing(t *testing.T) {
+	d := newDirectory(t)
+	kind, at := platform.KindEndpoints, fleet.StorePosition{Era: 1, Revision: 5}
+	confirmed := func() bool { _, known := d.ConfirmedAge(kind); return known }
+	d.ConfirmFromRouter(kind, at, bootclock.Now())
+	assert.Assert(t, !confirmed())
+	d.MergeDelta(kind, replica.Delta{At: fleet.StorePosition{Era: 1, Revision: 4}, Complete: true})
+	d.ConfirmFromRouter(kind, at, bootclock.Now())
+	assert.Assert(t, !confirmed(), "confirmed at an older revision")
+	d.MergeDelta(kind, replica.Delta{At: fleet.StorePosition{Era: 2, Revision: 9}, Complete: true})
+	d.ConfirmFromRouter(kind, at, bootclock.Now())
+	assert.Assert(t, !confirmed(), "confirmed by a router that knows an earlier era of the store")
+	d.ConfirmFromRouter(kind, fleet.StorePosition{Era: 2, Revision: 8}, bootclock.Now())
+	assert.Assert(t, confirmed())
+}
+
+// Guards against a replica that counts as confirmed since the arrival of a response. The response
+// may have been under way for long; only the begin of its call is certain.
+func TestChangesConfirmAsOfTheBeginOfTheirCall(t *testing.T) {
+	d := newDirectory(t)
+	begin := bootclock.Now() - time.Minute
+	d.mu.Lock()
+	d.applyLocked(platform.KindEndpoints, "list", begin, replica.Delta{At: fleet.StorePosition{Era: 1, Revision: 5}, Complete: true})
+	d.mu.Unlock()
+	age, known := d.ConfirmedAge(platform.KindEndpoints)
+	assert.Assert(t, known && age >= time.Minute)
+}
+
+// Guards against a list that arrives after that of a later era, or of a later revision, and
+// confirms the replica as of its own call although it was not applied.
+func TestOutdatedListConfirmsNothing(t *testing.T) {
+	d := newDirectory(t)
+	d.MergeDelta(platform.KindEndpoints, replica.Delta{At: fleet.StorePosition{Era: 2, Revision: 5}, Complete: true})
+	d.mu.Lock()
+	d.applyLocked(platform.KindEndpoints, "list", bootclock.Now(), replica.Delta{At: fleet.StorePosition{Era: 1, Revision: 7}, Complete: true})
+	d.mu.Unlock()
+	_, known := d.ConfirmedAge(platform.KindEndpoints)
+	assert.Assert(t, !known)
+}
+
+// Guards against an invalid configuration that is taken and an older one that undoes the one in
+// force, from another router or from a list of a later era of the store.
+func TestInvalidOrOlderConfigurationReplacesNone(t *testing.T) {
+	d := newDirectory(t)
+	encode := func(version int) []byte {
+		spec, err := json.Marshal(standin.SampleConfiguration(version))
+		assert.NilError(t, err)
+		return spec
+	}
+	list := func(era uint64, spec []byte) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.applyLocked(platform.KindConfiguration, "list", bootclock.Now(), replica.Delta{
+			At: fleet.StorePosition{Era: era, Revision: 9}, Complete: true,
+			Entries: []replica.Entry{{Name: platform.ConfigurationObjectName, Revision: 9, Spec: spec}},
+		})
+	}
+	d.MergeConfiguration(7, encode(7))
+	for _, spec := range [][]byte{encode(6), []byte(`{"version": 8, "routes": "none"}`), []byte("\xff")} {
+		d.MergeConfiguration(8, spec)
+		assert.Equal(t, d.View().Config.Version, uint64(7))
+	}
+	list(1, encode(6))
+	assert.Equal(t, d.View().Config.Version, uint64(7))
+	list(2, []byte(`{"version": 8, "routes": "none"}`))
+	assert.Equal(t, d.View().Config.Version, uint64(7))
+	list(3, encode(8))
+	assert.Equal(t, d.View().Config.Version, uint64(8))
+}
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/decision/freshness"
 	"github.com/arbutusline/arbutusline/decision/replica"
 	"github.com/arbutusline/arbutusline/fleet"
 	"github.com/arbutusline/arbutusline/internal/bootclock"
@@ -45,8 +46,8 @@
 	// batchDelay precedes each watch of the endpoints and the routers, so that one
 	// response returns several changes.
 	batchDelay = 150 * time.Millisecond
-	// watchStagger is the time between the timeouts of two routers' watches.
-	watchStagger = time.Second
+	// watcherCheckInterval is the time between two checks whether this router has to watch.
+	watcherCheckInterval = time.Second
 	// removedEndpointGrace is how long after an outage or a restore of the store objects
 	// stay in use that the store has removed or lost. Live endpoints write them again
 	// within about 2 s.
@@ -62,7 +63,10 @@
 
 func init() {
 	arbutusline.Register(func() arbutusline.Module {
-		return &Directory{WatchTimeout: settings.Duration(10 * time.Second), Watchers: 6, EraWait: settings.Duration(time.Second)}
+		return &Directory{
+			WatchTimeout: settings.Duration(10 * time.Second), Watchers: 6, EraWait: settings.Duration(time.Second),
+			ConfigurationDeadline: settings.Duration(4 * time.Second), EndpointDeadline: settings.Duration(3 * time.Second),
+		}
 	})
 }
 
@@ -72,8 +76,8 @@
 	Store string `json:"store"`
 	// Advertise is the address under which other routers reach this one. Required.
 	Advertise string `json:"advertise"`
-	// WatchTimeout is how long a watch waits for a change. Default 10s: it bounds
-	// the time to detect a dead connection, and other routers send changes meanwhile.
+	// WatchTimeout is how long a watch waits for a change. Default 10s: changes that a
+	// watch misses are found by the reads that confirm the replicas.
 	WatchTimeout settings.Duration `json:"watch_wait"`
 	// Watchers is the number of routers that watch the store; the others receive
 	// changes from them. A router that reaches no other router always watches.
@@ -83,16 +87,26 @@
 	// router while the store may just have come back from a copy. Default 1s: routers that
 	// the copy lacks register again within a third of it.
 	EraWait settings.Duration `json:"era_wait"`
+	// ConfigurationDeadline is how long after its acknowledgement a configuration is in
+	// force at every router that reaches the store or another router that does. Published
+	// weights versions and software versions are known as soon. Default 4s.
+	ConfigurationDeadline settings.Duration `json:"configuration_deadline"`
+	// EndpointDeadline is how long after the store has accepted that an endpoint leaves it
+	// gets no more requests. Default 3s.
+	EndpointDeadline settings.Duration `json:"endpoint_deadline"`
 
 	log        *logrus.Entry
 	node       *node.Node
 	store      *platform.StoreClient
 	view       atomic.Pointer[fleet.View]
+	standing   atomic.Pointer[ConfigurationStanding]
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 
-	mu                       sync.Mutex
-	replicas                 map[string]*replica.Replica
+	mu       sync.Mutex
+	replicas map[string]*replica.Replica
+	// confirmations has the kinds with a deadline.
+	confirmations            map[string]*freshness.Copy
 	active                   activeConfiguration
 	publishedWeightsVersions map[string][]fleet.PublishedWeightsVersion
 	// versionsLoaded is true once the weights versions that were published before this
@@ -123,6 +137,8 @@
 	eraKnown bool
 	// eraKnownSince is when this router learned of the era.
 	eraKnownSince time.Time
+	// restoredAt is when this router learned that the store came back from a copy, or zero.
+	restoredAt time.Time
 	// storeTrusted is true once this router takes configurations of the store.
 	storeTrusted bool
 	startedAt    time.Time
@@ -143,14 +159,16 @@
 	// lastContact is when the store or another router last responded, in nanoseconds of
 	// bootclock.
 	lastContact atomic.Int64
-	// watchRank is this router's rank among the reachableRouters, from 0.
-	watchRank        int
-	reachableRouters int
+	// watchRank is this router's rank, from 0, among the routers that reach each other and
+	// the store.
+	watchRank int
 
 	storeCalls       *prometheus.CounterVec
 	storeCallSeconds *prometheus.HistogramVec
 	replicaChanges   *prometheus.CounterVec
 	storeEraGauge    prometheus.Gauge
+
+	replicaConfirmations *prometheus.CounterVec
 }
 
 // retainedEndpoint is an endpoint that stays in use although the store removed its
@@ -184,11 +202,16 @@
 	for _, kind := range replicatedKinds {
 		d.replicas[kind] = replica.New()
 	}
+	d.confirmations = map[string]*freshness.Copy{}
+	for kind := range d.deadlines() {
+		d.confirmations[kind] = &freshness.Copy{}
+	}
 	d.publishedWeightsVersions, d.observedWeightsVersions = map[string][]fleet.PublishedWeightsVersion{}, map[string]map[string]uint64{}
 	d.unconfirmedUntil, d.watchCancels = map[string]time.Time{}, map[string]context.CancelCauseFunc{}
 	d.leavingEndpoints, d.departedEndpoints = map[string]leavingEndpoint{}, map[string]departedEndpoint{}
 	d.retainedEndpoints, d.decodedEndpoints, d.loggedInvalidRevisions = map[string]retainedEndpoint{}, map[string]decodedEndpoint{}, map[string]uint64{}
 	d.view.Store(&fleet.View{})
+	d.standing.Store(&ConfigurationStanding{})
 	d.store = platform.NewStoreClient(d.Store)
 	m, err := arbutusline.Lookup[*memory.Memory](k, memory.Name)
 	if err != nil {
@@ -220,6 +243,7 @@
 		Name: "arbutus_store_era", Help: "Era of the platform's store, which rises when the store comes back from a copy.",
 	})
 	a.Registry().MustRegister(d.storeCalls, d.storeCallSeconds, d.replicaChanges, d.storeEraGauge)
+	d.registerConfirmationMetrics(a.Registry())
 }
 
 // Validate checks that the required settings are present.
@@ -233,6 +257,9 @@
 	if d.EraWait < 0 {
 		return errors.New("era_wait must not be negative")
 	}
+	if d.ConfigurationDeadline <= 0 || d.EndpointDeadline <= 0 {
+		return errors.New("configuration_deadline and endpoint_deadline must be positive")
+	}
 	return nil
 }
 
@@ -264,6 +291,9 @@
 	for _, kind := range replicatedKinds {
 		d.goroutines.Go(func() { d.syncKind(ctx, kind) })
 	}
+	for kind, deadline := range d.deadlines() {
+		d.goroutines.Go(func() { d.confirmKind(ctx, kind, deadline) })
+	}
 	d.goroutines.Go(func() { d.maintainRegistration(ctx) })
 	d.goroutines.Go(func() { d.expireRetained(ctx) })
 	return nil
@@ -283,12 +313,10 @@
 	delay := minRetryDelay
 	for ctx.Err() == nil {
 		position, err := d.listObjects(ctx, kind)
-		watched, afterChange := false, true
+		watched := false
 		for err == nil && ctx.Err() == nil {
 			position = d.waitUntilWatcher(ctx, kind, position)
-			since := position
-			position, err = d.watchObjects(ctx, kind, position, d.watchTimeout(kind, afterChange))
-			afterChange = position != since
+			position, err = d.watchObjects(ctx, kind, position)
 			watched = watched || err == nil
 		}
 		if ctx.Err() != nil {
@@ -311,6 +339,7 @@
 }
 
 func (d *Directory) listObjects(ctx context.Context, kind string) (fleet.StorePosition, error) {
+	begin := bootclock.Now()
 	objects, position, err := d.store.List(ctx, kind)
 	if err != nil {
 		return fleet.StorePosition{}, err
@@ -322,7 +351,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.applyLocked(kind, "list", replica.Delta{At: position, Entries: entries, Complete: true})
+	d.applyLocked(kind, "list", begin, replica.Delta{At: position, Entries: entries, Complete: true})
 	if kind == KindSoftwareVersions {
 		d.ObserveContact()
 	}
@@ -343,42 +372,27 @@
 		if isWatcher {
 			break
 		}
-		wait.ForJittered(ctx, watchStagger)
+		wait.ForJittered(ctx, watcherCheckInterval)
 	}
 	return position
 }
 
-// watchTimeout returns how long a watch waits for a change. A watch may miss a change
-// when the store drops its history. The timeouts of the routers are therefore
-// staggered by one second, so that one router soon watches again and sends the change
-// to the others. Set afterChange after a change, when the watches of all routers begin
-// at the same time.
-func (d *Directory) watchTimeout(kind string, afterChange bool) time.Duration {
-	if kind == KindRouters {
-		return d.WatchTimeout.AsDuration()
-	}
-	d.mu.Lock()
-	rank, routers := d.watchRank, min(d.Watchers, max(1, d.reachableRouters))
-	d.mu.Unlock()
-	if afterChange {
-		return min(d.WatchTimeout.AsDuration(), watchStagger*time.Duration(rank+1))
-	}
-	return min(d.WatchTimeout.AsDuration(), watchStagger*time.Duration(routers))
-}
-
 // SetWatchRank sets this router's rank, from 0, among the routers that reach each
 // other and the store, and their number. The routers with the lowest ranks watch the
 // store.
 func (d *Directory) SetWatchRank(rank, routers int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.watchRank, d.reachableRouters = rank, routers
+	d.watchRank = rank
 	d.othersReachStore.Store(routers > 1)
+	if watching := rank < d.Watchers; watching != d.Standing().Watching {
+		d.updateStanding()
+	}
 }
 
 // watchObjects waits for changes of a kind and merges them. It returns the position up to
 // which they are complete.
-func (d *Directory) watchObjects(ctx context.Context, kind string, since fleet.StorePosition, timeout time.Duration) (fleet.StorePosition, error) {
+func (d *Directory) watchObjects(ctx context.Context, kind string, since fleet.StorePosition) (fleet.StorePosition, error) {
 	if kind == platform.KindEndpoints || kind == KindRouters {
 		wait.ForJittered(ctx, batchDelay)
 	}
@@ -387,10 +401,18 @@
 	if !d.beginWatch(kind, since, cancel) {
 		return since, platform.ErrEraChanged
 	}
-	changes, position, err := d.store.Watch(ctx, kind, since, timeout)
-	if errors.Is(context.Cause(ctx), platform.ErrEraChanged) {
-		return since, platform.ErrEraChanged
+	position, err := d.readChanges(ctx, kind, since, d.WatchTimeout.AsDuration())
+	if cause := context.Cause(ctx); errors.IsAny(cause, platform.ErrEraChanged, errStoreSilent) {
+		return since, cause
 	}
+	return position, err
+}
+
+// readChanges reads the changes of a kind since a position, waiting up to timeout for the
+// first one, and merges them. It returns the position up to which they are complete.
+func (d *Directory) readChanges(ctx context.Context, kind string, since fleet.StorePosition, timeout time.Duration) (fleet.StorePosition, error) {
+	begin := bootclock.Now()
+	changes, position, err := d.store.Watch(ctx, kind, since, timeout)
 	if err != nil {
 		return since, err
 	}
@@ -401,9 +423,13 @@
 			Removed: c.Removed || c.Object.Metadata.Deleting,
 		})
 	}
+	source := "watch"
+	if timeout == 0 {
+		source = "read"
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.applyLocked(kind, "watch", replica.Delta{At: position, Entries: entries})
+	d.applyLocked(kind, source, begin, replica.Delta{At: position, Entries: entries})
 	if kind == KindSoftwareVersions {
 		d.ObserveContact()
 	}
@@ -417,6 +443,10 @@
 		d.log.WithError(err).WithField("kind", kind).Warn("store unreachable")
 	}
 	d.storeUnreachable.Store(true)
+	for kind, cancel := range d.watchCancels {
+		cancel(errStoreSilent)
+		delete(d.watchCancels, kind)
+	}
 }
 
 // StoreUnreachable reports whether a list or watch failed since the last successful
--- a/modules/directory/era.go
+++ b/modules/directory/era.go
@@ -35,6 +35,7 @@
 	if d.eraKnown {
 		d.log.WithFields(logrus.Fields{"era": era, "before": d.storeEra}).Warn("store came back from a copy")
 		d.storeReachableSince = time.Now()
+		d.restoredAt = d.storeReachableSince
 		d.rememberDeparturesLocked(d.storeReachableSince)
 		for _, cancel := range d.watchCancels {
 			cancel(platform.ErrEraChanged)
@@ -43,6 +44,7 @@
 	}
 	d.storeEra, d.eraKnown, d.eraKnownSince = era, true, time.Now()
 	d.storeEraGauge.Set(float64(era))
+	d.updateStanding()
 }
 
 // beginWatch registers the cancel function of a watch. It returns false if the store has
@@ -58,8 +60,9 @@
 }
 
 // applyLocked merges a list, changes or what another router has to tell into the replica of
-// a kind. The caller holds mu.
-func (d *Directory) applyLocked(kind, source string, delta replica.Delta) {
+// a kind, which is then confirmed as of a time on bootclock unless that is negative. The caller
+// holds mu.
+func (d *Directory) applyLocked(kind, source string, asOf time.Duration, delta replica.Delta) {
 	r := d.replicas[kind]
 	before := r.Position()
 	if delta.Complete && delta.At.Era > before.Era {
@@ -77,6 +80,9 @@
 	if changed {
 		d.handleReplicaChangeLocked(kind, source)
 	}
+	if position := r.Position(); asOf >= 0 && d.confirmations[kind] != nil && position.Era == delta.At.Era && !position.Before(delta.At) {
+		d.confirmLocked(kind, source, asOf)
+	}
 }
 
 // dropUnconfirmedLocked drops the objects that a restored copy of the store lacks and that
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -75,6 +75,7 @@
 	}
 	d.logEndpointChangesLocked(d.view.Load(), v)
 	d.view.Store(v)
+	d.updateStanding()
 	for _, f := range d.subscribers {
 		f(v)
 	}
@@ -315,7 +316,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.replicas[kind] != nil {
-		d.applyLocked(kind, "router", delta)
+		d.applyLocked(kind, "router", -1, delta)
 	}
 	d.versionsLoaded = d.versionsLoaded || kind == platform.KindPublishedWeightsVersions
 }
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -411,6 +411,7 @@
 	x.recordCall(p, err)
 	if err == nil {
 		x.applyState(response)
+		x.confirmReplicas(begin, response.GetPositions())
 		// Contact stands for knowledge, so that it begins when the state has been taken over.
 		x.directory.ObserveContact()
 		x.versions.ObservePromises(response.GetName(), begin, decodePromises(response.GetTablePromises()))
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -41,7 +41,12 @@
 func (x *Exchange) buildState(in *arbutuspb.RouterState, positions []directory.ReplicaPosition) *arbutuspb.RouterState {
 	out := &arbutuspb.RouterState{Name: x.node.ID, Address: x.ownAddress, StoreLost: x.directory.StoreUnreachable()}
 	for _, p := range positions {
-		out.Positions = append(out.Positions, &arbutuspb.CopyPosition{Kind: p.Kind, Era: p.Position.Era, Revision: p.Position.Revision})
+		position := &arbutuspb.CopyPosition{Kind: p.Kind, Era: p.Position.Era, Revision: p.Position.Revision}
+		if age, known := x.directory.ConfirmedAge(p.Kind); in != nil && known {
+			ms := uint32(age.Milliseconds()) + 1
+			position.ConfirmedAgeMs = &ms
+		}
+		out.Positions = append(out.Positions, position)
 	}
 	for _, l := range x.relay.Loads() {
 		out.Loads = append(out.Loads, &arbutuspb.EndpointLoad{
@@ -184,6 +189,19 @@
 	x.directory.MergeConfiguration(in.GetConfigurationVersion(), in.GetConfiguration())
 }
 
+// confirmReplicas records how well another router knew the store when it sent a response to a
+// call that began at a time on bootclock. Its ages count from no earlier than that: what a call
+// says may have been delayed on the way, so that only responses count.
+func (x *Exchange) confirmReplicas(begin time.Duration, positions []*arbutuspb.CopyPosition) {
+	for _, p := range positions {
+		if p.ConfirmedAgeMs == nil {
+			continue
+		}
+		asOf := begin - time.Duration(p.GetConfirmedAgeMs())*time.Millisecond
+		x.directory.ConfirmFromRouter(p.GetKind(), fleet.StorePosition{Era: p.GetEra(), Revision: p.GetRevision()}, asOf)
+	}
+}
+
 // applyWeightsChange passes the stage of a weights change to the relay. The start of a
 // change is ignored if the endpoint is unknown or has already loaded the version.
 func (x *Exchange) applyWeightsChange(c *arbutuspb.WeightsChange) {
--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -229,9 +229,14 @@
 		return nil, refused
 	}
 	// The configuration may have changed while the body arrived.
+	standing := g.directory.Standing()
 	config = g.directory.View().Config
 	route, team, refused := findRouteAndTeam(config, r)
 	if refused != nil {
+		// A newer configuration may allow what this one does not.
+		if !g.directory.ConfigurationKnown(standing) {
+			refused = &refusal{http.StatusServiceUnavailable, "configuration_unconfirmed", noConfigurationRetryAfter}
+		}
 		return nil, refused
 	}
 	req := &relay.Request{
@@ -361,12 +366,8 @@
 func (g *Ingress) refuse(w http.ResponseWriter, r *http.Request, refused *refusal) {
 	id := r.Header.Get(platform.HeaderRequestID)
 	g.refusals.WithLabelValues(refused.reason).Inc()
-	var version uint64
-	if c := g.directory.View().Config; c != nil {
-		version = c.Version
-	}
-	g.log.WithFields(logrus.Fields{
-		"request": id, "host": r.Host, "path": r.URL.Path, "status": refused.status, "reason": refused.reason, "configuration": version,
+	g.log.WithFields(g.directory.Standing().Fields()).WithFields(logrus.Fields{
+		"request": id, "host": r.Host, "path": r.URL.Path, "status": refused.status, "reason": refused.reason,
 	}).Warn("request refused")
 	h := w.Header()
 	if id != "" {
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -61,6 +61,9 @@
 	return filepath.Join(builtProgram.dir, "arbutus-front")
 }
 
+// invalidConfigurationVersion is the version that an invalid configuration states.
+const invalidConfigurationVersion = 1 << 20
+
 // deployment consists of a store, endpoints and routers on loopback.
 type deployment struct {
 	t                *testing.T
@@ -76,6 +79,8 @@
 	mu                   sync.Mutex
 	history              History
 	configurationVersion int
+	// configurationAckedAt is when the store accepted that version.
+	configurationAckedAt time.Duration
 	weightsVersion       uint64
 	// softwareReleases is the number of software versions of the engines so far.
 	softwareReleases int
@@ -86,6 +91,7 @@
 type router struct {
 	*deployment
 	name, ip   string
+	watchers   int
 	storeProxy *Proxy
 	peerProxy  *Proxy
 	logFile    *os.File
@@ -119,7 +125,7 @@
 // newDeployment starts a deployment and waits until all routers are ready. Deployments
 // that run at the same time need different indices, which give their routers different
 // addresses.
-func newDeployment(t *testing.T, index, routerCount, serviceCount, engineCount int) *deployment {
+func newDeployment(t *testing.T, index, watchers, routerCount, serviceCount, engineCount int) *deployment {
 	d := &deployment{t: t, dir: t.TempDir(), startedAt: time.Now(), store: &platform.Store{}}
 	d.history.EventsPerStream = eventsPerStream
 	d.publishNextConfiguration()
@@ -133,7 +139,7 @@
 		d.engineEndpoints = append(d.engineEndpoints, d.startEndpoint(fmt.Sprintf("llm-%d", i), "m"))
 	}
 	for i := range routerCount {
-		r := &router{deployment: d, name: fmt.Sprintf("front-%d", i), ip: fmt.Sprintf("127.%d.%d.%d", 64+index%128, 1+os.Getpid()%250, i+1)}
+		r := &router{deployment: d, watchers: watchers, name: fmt.Sprintf("front-%d", i), ip: fmt.Sprintf("127.%d.%d.%d", 64+index%128, 1+os.Getpid()%250, i+1)}
 		r.storeProxy = d.startProxy("127.0.0.1:0", strings.TrimPrefix(store.URL, "http://"))
 		r.peerProxy = d.startProxy(r.ip+":8003", r.ip+":8002")
 		d.routers = append(d.routers, r)
@@ -183,9 +189,18 @@
 		}
 	}
 	d.store.Put("config", "main", config)
+	d.configurationAckedAt = d.elapsed()
 	d.history.Isolations = append(d.history.Isolations, Isolation{Team: "walled", At: d.elapsed(), Isolated: isolated})
 }
 
+// publishInvalidConfiguration stores a configuration that no router may take, and after a duration
+// the next valid one.
+func (d *deployment) publishInvalidConfiguration(duration time.Duration) {
+	d.store.Put("config", "main", map[string]any{"version": invalidConfigurationVersion, "routes": "none"})
+	time.Sleep(duration)
+	d.publishNextConfiguration()
+}
+
 // publishNextWeightsVersion stores the next weights version, which all engines
 // must then serve.
 func (d *deployment) publishNextWeightsVersion() {
@@ -201,6 +216,12 @@
 	return d.configurationVersion, d.weightsVersion
 }
 
+func (d *deployment) recordRestore() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.history.Restores = append(d.history.Restores, d.elapsed())
+}
+
 // recordFault records a fault that begins now and lasts for duration.
 func (d *deployment) recordFault(description, routerName string, planned bool, duration time.Duration) {
 	d.mu.Lock()
@@ -322,11 +343,11 @@
 	"node": {"id": %q, "role": "router", "zone": "a"},
 	"admin": {"listen": "%[2]s:8001"},
 	"grpc": {"listen": "%[2]s:8002"},
-	"directory": {"store": %[3]q, "advertise": "%[2]s:8003"},
+	"directory": {"store": %[3]q, "advertise": "%[2]s:8003", "watchers": %[5]d},
 	"relay": {"retry_slack": %[4]d},
 	"upgrade": {"holder": %[2]q, "turn_pause": "500ms"},
 	"ingress": {"listen": "%[2]s:8000", "linger": "500ms"}
-}`, r.name, r.ip, r.storeProxy.Address(), retrySlack)
+}`, r.name, r.ip, r.storeProxy.Address(), retrySlack, r.watchers)
 	assert.Check(r.t, os.WriteFile(r.settingsPath(), []byte(text), 0o600))
 }
 
@@ -440,7 +461,7 @@
 // serves, among the latest three. It returns 0 if none is found.
 func (r *router) probeConfiguration(ctx context.Context, client *http.Client) int {
 	latest, _ := r.latestVersions()
-	incarnation := r.currentIncarnation()
+	incarnation, sentAt := r.currentIncarnation(), r.elapsed()
 	for version := latest; version > max(0, latest-3); version-- {
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:8000/cfg/%d/x", r.ip, version), nil)
 		if err != nil {
@@ -454,6 +475,9 @@
 			return 0
 		}
 		_ = response.Body.Close() // Only the status counts.
+		if response.StatusCode == http.StatusNotFound && version == latest {
+			r.recordRefusedVersion(version, sentAt)
+		}
 		if response.StatusCode == http.StatusOK && r.currentIncarnation() == incarnation {
 			r.deployment.mu.Lock()
 			r.history.ServedVersions = append(r.history.ServedVersions, ServedVersion{Router: r.name, Incarnation: incarnation, Version: version})
@@ -463,3 +487,15 @@
 	}
 	return 0
 }
+
+// recordRefusedVersion records that the router refused for good what a configuration allows, if
+// that is still the newest.
+func (r *router) recordRefusedVersion(version int, sentAt time.Duration) {
+	r.deployment.mu.Lock()
+	defer r.deployment.mu.Unlock()
+	if version == r.configurationVersion {
+		r.history.RefusedVersions = append(r.history.RefusedVersions, RefusedVersion{
+			Router: r.name, Version: version, AckedAt: r.configurationAckedAt, SentAt: sentAt,
+		})
+	}
+}
--- a/soak/history.go
+++ b/soak/history.go
@@ -80,6 +80,14 @@
 	Incarnation, Version int
 }
 
+// RefusedVersion is a final refusal, at a router, of a request that the newest configuration
+// allows. AckedAt is when the store had acknowledged that configuration.
+type RefusedVersion struct {
+	Router          string
+	Version         int
+	AckedAt, SentAt time.Duration
+}
+
 // Fault is an injected fault or planned change. Router is the affected router; empty
 // means all routers.
 type Fault struct {
@@ -98,7 +106,10 @@
 	Executions      []Execution
 	WeightsOrders   []WeightsOrder
 	ServedVersions  []ServedVersion
-	Faults          []Fault
+	RefusedVersions []RefusedVersion
+	// Restores are the times at which the store came back from a copy.
+	Restores []time.Duration
+	Faults   []Fault
 	// Isolations are in the order of time.
 	Isolations []Isolation
 	// UnexpectedExits describes processes that exited without a stop signal, did not
@@ -120,6 +131,7 @@
 	violations = append(violations, h.checkCacheNamespaces()...)
 	violations = append(violations, h.checkFencingTokens()...)
 	violations = append(violations, h.checkServedVersions()...)
+	violations = append(violations, h.checkRefusedVersions()...)
 	for _, e := range h.UnexpectedExits {
 		violations = append(violations, "process exited unexpectedly: "+e)
 	}
@@ -341,3 +353,25 @@
 	}
 	return violations
 }
+
+const (
+	// configurationDeadline is how long after its acknowledgement a configuration is in force:
+	// the default of the directory's setting.
+	configurationDeadline = 4 * time.Second
+	// eraSettleTime is how long a router that starts may take the configuration of a restored
+	// store for the newest one.
+	eraSettleTime = 12 * time.Second
+)
+
+// checkRefusedVersions finds final refusals by a configuration that was replaced longer than the
+// deadline before. No fault excuses one: a router that cannot know leaves it open.
+func (h *History) checkRefusedVersions() []string {
+	var violations []string
+	for _, r := range h.RefusedVersions {
+		restored := slices.ContainsFunc(h.Restores, func(at time.Duration) bool { return at < r.SentAt && r.SentAt < at+eraSettleTime })
+		if r.SentAt-r.AckedAt > configurationDeadline && !restored {
+			violations = append(violations, fmt.Sprintf("router %s refused for good at %s what configuration %d allows since %s", r.Router, r.SentAt, r.Version, r.AckedAt))
+		}
+	}
+	return violations
+}
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -81,6 +81,9 @@
 		{"fencing token decreases", "fencing token 1 after 2", func(h *History) { h.WeightsOrders = append(h.WeightsOrders, WeightsOrder{"e", "h1", 1}) }},
 		{"two lease holders use a fencing token", "used by lease holders h2 and h3", func(h *History) { h.WeightsOrders = append(h.WeightsOrders, WeightsOrder{"d", "h3", 2}) }},
 		{"older configuration served", "configuration 3 after 4", func(h *History) { h.ServedVersions = append(h.ServedVersions, ServedVersion{"r1", 1, 3}) }},
+		{"refusal by a replaced configuration", "refused for good at 15s what configuration 4", func(h *History) {
+			h.RefusedVersions = append(h.RefusedVersions, RefusedVersion{"r1", 4, 10 * time.Second, 15 * time.Second})
+		}},
 		{"take-up of another version", "software versions [v1 v2]", func(h *History) { h.Calls[7].SoftwareVersions = []string{"v2"} }},
 		{"two versions in one response", "software versions [v1 v2]", func(h *History) { h.Calls[2].SoftwareVersions = []string{"v1", "v2"} }},
 		{"take-up repeats an event", "not consecutive from 2", func(h *History) { h.Calls[7].EventIDs, h.Calls[7].Complete = []int{1, 2, 3}, false }},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,10 @@
 	// meanFaultInterval.
 	faultPeriod       = 6 * time.Second
 	meanFaultInterval = 350 * time.Millisecond
+	// invalidConfigurationPeriod is how long an invalid configuration stays the newest one.
+	invalidConfigurationPeriod = 2 * time.Second
+	// defaultWatchers is more than there are routers: all watch the store.
+	defaultWatchers = 6
 	// undisturbedPeriod is how long callers run before the first fault, and again
 	// after the recovery from the last one. All calls must succeed or be refused then.
 	undisturbedPeriod = 1200 * time.Millisecond
@@ -47,7 +51,7 @@
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, seed)
+			runSeed(t, seed, seed%3 == 1)
 		})
 	}
 }
@@ -57,7 +61,7 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprintf("%d %s", r.seed, r.cause), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, r.seed)
+			runSeed(t, r.seed, false)
 		})
 	}
 }
@@ -71,14 +75,22 @@
 }
 
 // runSeed injects the faults of a seed into a new deployment under load and checks the
-// history, the recovery and the logs.
-func runSeed(t *testing.T, seed uint64) {
+// history, the recovery and the logs. With fewWatchers a single router watches the store, and an
+// invalid configuration is written.
+func runSeed(t *testing.T, seed uint64, fewWatchers bool) {
 	rng := rand.New(rand.NewPCG(seed, 0))
-	d := newDeployment(t, int(seed), 3+rng.IntN(2), 2+rng.IntN(2), 3+rng.IntN(3))
+	watchers := defaultWatchers
+	if fewWatchers {
+		watchers = 1
+	}
+	d := newDeployment(t, int(seed), watchers, 3+rng.IntN(2), 2+rng.IntN(2), 3+rng.IntN(3))
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	callers.Go(func() { d.runCallers(ctx, seed, "t") })
 	time.Sleep(undisturbedPeriod)
+	if fewWatchers {
+		callers.Go(func() { d.publishInvalidConfiguration(invalidConfigurationPeriod) })
+	}
 	// Every fourth seed has only planned changes, which must not interrupt any call.
 	d.injectFaults(rng, seed%4 == 0)
 	d.clearFaults()
@@ -243,6 +255,7 @@
 		copied := d.store.Copy()
 		time.Sleep(duration)
 		d.recordFault("store restored from a copy", "", false, duration)
+		d.recordRestore()
 		d.store.Restore(copied)
 		time.Sleep(time.Duration(target%10) * restoreStep)
 		d.store.Rewrite()
