Date a publication that a watch missed from the last confirmation

A read that finds a publication now dates it from the time as of which the replica was confirmed before, which is never later than the publication. What a pending watch reports is dated as before.

--- a/modules/directory/configuration.go
+++ b/modules/directory/configuration.go
@@ -126,7 +126,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(spec) > 0 {
-		if d.applyConfigurationLocked(spec, "router", 0) {
+		if d.applyConfigurationLocked(spec, sourceRouter, 0) {
 			d.active.inReplica = false
 			d.publishViewLocked()
 		}
--- a/modules/directory/confirmation.go
+++ b/modules/directory/confirmation.go
@@ -125,7 +125,7 @@
 	if r == nil || d.confirmations[kind] == nil || position.Era != r.Position().Era || r.Position().Before(position) {
 		return
 	}
-	d.confirmLocked(kind, "router", asOf)
+	d.confirmLocked(kind, sourceRouter, asOf)
 }
 
 // ConfigurationStanding tells how well the configuration in force is known.
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -59,6 +59,14 @@
 	tombstoneRevisions = 20000
 )
 
+// The ways in which a replica changes, as in logs and metrics.
+const (
+	sourceList   = "list"
+	sourceWatch  = "watch"
+	sourceRead   = "read"
+	sourceRouter = "router"
+)
+
 var replicatedKinds = []string{platform.KindConfiguration, platform.KindEndpoints, platform.KindPublishedWeightsVersions, KindRouters, KindSoftwareVersions}
 
 func init() {
@@ -112,6 +120,8 @@
 	// versionsLoaded is true once the weights versions that were published before this
 	// router started are known.
 	versionsLoaded bool
+	// publishedBy is the source of the last change of the published weights versions.
+	publishedBy string
 	// observedWeightsVersions maps endpoints and models to the weights versions that
 	// the endpoints themselves reported.
 	observedWeightsVersions map[string]map[string]uint64
@@ -351,7 +361,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.applyLocked(kind, "list", begin, replica.Delta{At: position, Entries: entries, Complete: true})
+	d.applyLocked(kind, sourceList, begin, replica.Delta{At: position, Entries: entries, Complete: true})
 	if kind == KindSoftwareVersions {
 		d.ObserveContact()
 	}
@@ -423,9 +433,9 @@
 			Removed: c.Removed || c.Object.Metadata.Deleting,
 		})
 	}
-	source := "watch"
+	source := sourceWatch
 	if timeout == 0 {
-		source = "read"
+		source = sourceRead
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -11,6 +11,7 @@
 
 	"github.com/arbutusline/arbutusline/decision/replica"
 	"github.com/arbutusline/arbutusline/fleet"
+	"github.com/arbutusline/arbutusline/internal/bootclock"
 	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/platform"
 )
@@ -39,7 +40,9 @@
 	switch kind {
 	case platform.KindConfiguration:
 		d.updateConfigurationLocked(source)
-	case platform.KindEndpoints, platform.KindPublishedWeightsVersions, KindSoftwareVersions:
+	case platform.KindPublishedWeightsVersions:
+		d.publishedBy = source
+	case platform.KindEndpoints, KindSoftwareVersions:
 	case KindRouters:
 		// Subscribers divide work between the routers.
 		d.routerCount.Store(int64(len(d.OtherRouterNamesLocked()) + 1))
@@ -96,9 +99,9 @@
 			continue
 		}
 		if version > out[model] {
-			published := fleet.PublishedWeightsVersion{Version: version, PublishedAt: time.Now()}
+			published := fleet.PublishedWeightsVersion{Version: version, PublishedAt: time.Now().Add(-d.publishAgeLocked())}
 			if !d.versionsLoaded {
-				published.PublishedAt, published.Assumed = published.PublishedAt.Add(-assumedPublishAge), true
+				published.PublishedAt, published.Assumed = time.Now().Add(-assumedPublishAge), true
 			}
 			out[model] = version
 			d.recordPublishTimeLocked(model, published)
@@ -112,6 +115,19 @@
 	return out
 }
 
+// publishAgeLocked returns how long ago a version that the replica now shows may have been
+// published. A watch reports it at once, and another router states its age. What a read of the
+// store finds may have been there since the replica was last confirmed, for example if the store
+// dropped the event; a later time would let requests begin on superseded weights after the
+// deadline. The caller holds mu.
+func (d *Directory) publishAgeLocked() time.Duration {
+	age, known := d.confirmations[platform.KindPublishedWeightsVersions].Age(bootclock.Now())
+	if !known || d.publishedBy != sourceRead && d.publishedBy != sourceList {
+		return 0
+	}
+	return age
+}
+
 // recordPublishTimeLocked records when a version was published, keeping the earliest
 // time. A time that a router knows replaces an assumed one. It reports whether the record
 // changed. The versions stay in ascending order. The caller holds mu.
@@ -316,7 +332,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.replicas[kind] != nil {
-		d.applyLocked(kind, "router", -1, delta)
+		d.applyLocked(kind, sourceRouter, -1, delta)
 	}
 	d.versionsLoaded = d.versionsLoaded || kind == platform.KindPublishedWeightsVersions
 }
