--- a/decision/freshness/freshness.go
+++ b/decision/freshness/freshness.go
@@ -20,23 +20,28 @@
 	// leaderShare is the age at which the first router asks the store. The others normally
 	// learn the answer from it and need not ask.
 	leaderShare = 0.25
+	// smallLeaderShare is the same where all routers watch, so few that one round of calls
+	// reaches all.
+	smallLeaderShare = 0.4
 	// watcherShare is the age at which the second router asks. The further watchers follow
 	// up to lastWatcherShare, one after the other.
-	watcherShare     = 0.4
-	lastWatcherShare = 0.55
+	watcherShare     = 0.5
+	lastWatcherShare = 0.6
 	// followerShare and lastShare bound the age at which routers ask that do not watch.
 	followerShare = 0.55
 	lastShare     = 0.75
 )
 
 // Patience returns the age of a copy, in units of time like the deadline, from which on a
-// router asks the store. Rank is the router's rank among those that it expects to reach the
-// store, from 0; those below watchers watch it. Draw is a random number in [0,1) that the
-// other routers do not share.
-func Patience(deadline time.Duration, rank, watchers int, draw float64) time.Duration {
+// router asks the store. Rank is the router's rank, from 0, among the routers that it expects to
+// reach the store, itself included; those below watchers watch it. Draw is a random number in
+// [0,1) that the other routers do not share.
+func Patience(deadline time.Duration, rank, routers, watchers int, draw float64) time.Duration {
 	// Few routers ask early. Their answers spread and spare the others the call.
 	share := followerShare + math.Sqrt(draw)*(lastShare-followerShare)
 	switch {
+	case rank == 0 && routers <= watchers:
+		share = smallLeaderShare
 	case rank == 0:
 		share = leaderShare
 	case rank < watchers:
--- a/decision/freshness/spread_test.go
+++ b/decision/freshness/spread_test.go
@@ -155,7 +155,7 @@
 			m.watch(r, m.now)
 		}
 	}
-	if !m.watchersOnly && !r.confirming && r.copy.DueIn(m.now, Patience(m.deadline, rank, modelWatchers, r.draw)) == 0 {
+	if !m.watchersOnly && !r.confirming && r.copy.DueIn(m.now, Patience(m.deadline, rank, len(m.routers), modelWatchers, r.draw)) == 0 {
 		m.confirm(r)
 	}
 	// A random subset of the others keeps the model fast at any size.
@@ -359,8 +359,10 @@
 
 // Guards against routers that would leave the call to the store too little of the deadline.
 func TestPatienceLeavesTimeForTheCall(t *testing.T) {
-	for rank := range 400 {
-		p := Patience(time.Second, rank, modelWatchers, 0.999)
-		assert.Assert(t, p >= time.Second/4 && p <= 3*time.Second/4, "rank %d: %s", rank, p)
+	for _, routers := range []int{1, 4, 31, 400} {
+		for rank := range routers {
+			p := Patience(time.Second, rank, routers, modelWatchers, 0.999)
+			assert.Assert(t, p >= time.Second/4 && p <= 3*time.Second/4, "rank %d of %d: %s", rank, routers, p)
+		}
 	}
 }
--- a/modules/directory/confirmation.go
+++ b/modules/directory/confirmation.go
@@ -37,11 +37,12 @@
 // deadlines returns how old a replica may become, by kind. The registered routers have no
 // deadline: routers that do not answer are left out anyway.
 func (d *Directory) deadlines() map[string]time.Duration {
+	configuration, endpoints := d.ConfigurationDeadline.AsDuration(), d.EndpointDeadline.AsDuration()
 	return map[string]time.Duration{
-		platform.KindConfiguration:            d.ConfigurationDeadline.AsDuration(),
-		platform.KindEndpoints:                d.EndpointDeadline.AsDuration(),
-		platform.KindPublishedWeightsVersions: d.ConfigurationDeadline.AsDuration(),
-		KindSoftwareVersions:                  d.ConfigurationDeadline.AsDuration(),
+		platform.KindConfiguration:            configuration,
+		platform.KindEndpoints:                endpoints,
+		platform.KindPublishedWeightsVersions: min(configuration, endpoints),
+		KindSoftwareVersions:                  min(configuration, endpoints),
 	}
 }
 
@@ -74,7 +75,7 @@
 	if d.replicas[kind].Position().Revision == 0 || kind != platform.KindConfiguration && d.storeUnreachable.Load() {
 		return maxRetryDelay
 	}
-	return d.confirmations[kind].DueIn(bootclock.Now(), freshness.Patience(deadline, d.watchRank, d.Watchers, draw))
+	return d.confirmations[kind].DueIn(bootclock.Now(), freshness.Patience(deadline, d.watchRank, d.reachableRouters, d.Watchers, draw))
 }
 
 // confirmFromStore reads the changes of a kind since the replica's position.
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -96,11 +96,11 @@
 	// the copy lacks register again within a third of it.
 	EraWait settings.Duration `json:"era_wait"`
 	// ConfigurationDeadline is how long after its acknowledgement a configuration is in
-	// force at every router that reaches the store or another router that does. Published
-	// weights versions and software versions are known as soon. Default 4s.
+	// force at every router that reaches the store or another router that does. Default 4s.
 	ConfigurationDeadline settings.Duration `json:"configuration_deadline"`
 	// EndpointDeadline is how long after the store has accepted that an endpoint leaves it
-	// gets no more requests. Default 3s.
+	// gets no more requests. Published weights versions and software versions are known after
+	// the shorter of the two. Default 3s.
 	EndpointDeadline settings.Duration `json:"endpoint_deadline"`
 
 	log        *logrus.Entry
@@ -170,8 +170,9 @@
 	// bootclock.
 	lastContact atomic.Int64
 	// watchRank is this router's rank, from 0, among the routers that reach each other and
-	// the store.
-	watchRank int
+	// the store, reachableRouters their number.
+	watchRank        int
+	reachableRouters int
 
 	storeCalls       *prometheus.CounterVec
 	storeCallSeconds *prometheus.HistogramVec
@@ -393,7 +394,7 @@
 func (d *Directory) SetWatchRank(rank, routers int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.watchRank = rank
+	d.watchRank, d.reachableRouters = rank, routers
 	d.othersReachStore.Store(routers > 1)
 	if watching := rank < d.Watchers; watching != d.Standing().Watching {
 		d.updateStanding()
