--- a/modules/directory/confirmation.go
+++ b/modules/directory/confirmation.go
@@ -134,7 +134,7 @@
 	// Version is 0 if there is no configuration.
 	Version uint64
 	// Position is that of the object which holds the configuration, Source how this router
-	// learned of it: list, watch, router or store.
+	// learned of it: list, watch, read, router, or store if it had to ask the others first.
 	Position fleet.StorePosition
 	Source   string
 	// ConfirmedAt is the time, on bootclock, before which no newer configuration was
--- a/process/process.go
+++ b/process/process.go
@@ -28,6 +28,7 @@
 
 type flags struct {
 	Settings      string        `help:"Settings file, JSON with comments." type:"path"`
+	Set           []string      `help:"Setting that replaces that of the file, MODULE.FIELD=VALUE." placeholder:"SETTING" sep:"none"`
 	PrintSettings bool          `help:"Print the effective settings and exit."`
 	Check         bool          `help:"Check the settings and exit."`
 	StopTimeout   time.Duration `help:"Maximum duration of a graceful shutdown." default:"10m"`
@@ -60,7 +61,7 @@
 	if f.Check {
 		return ExitOK
 	}
-	if err := runKernel(kernel, f.Settings, sigs, f.StopTimeout); err != nil {
+	if err := runKernel(kernel, f, sigs); err != nil {
 		entry.WithError(err).Error("process failed")
 		return ExitFailure
 	}
@@ -68,7 +69,7 @@
 }
 
 func loadKernel(f flags, log *logrus.Entry, out *asynclog.Writer, modules []string) (*arbutusline.Kernel, error) {
-	file, err := settings.Read(f.Settings)
+	file, err := readSettings(f)
 	if err != nil {
 		return nil, err
 	}
@@ -77,6 +78,14 @@
 	return kernel, kernel.Load(modules...)
 }
 
+func readSettings(f flags) (settings.File, error) {
+	file, err := settings.Read(f.Settings)
+	if err != nil {
+		return settings.File{}, err
+	}
+	return file.WithOverrides(f.Set)
+}
+
 // printSettings prints the settings of all provisioned modules, including invalid
 // ones, so that an operator sees what is missing.
 func printSettings(kernel *arbutusline.Kernel) {
@@ -88,15 +97,15 @@
 	fmt.Println(string(text))
 }
 
-func runKernel(kernel *arbutusline.Kernel, settingsPath string, sigs signals, stopTimeout time.Duration) error {
+func runKernel(kernel *arbutusline.Kernel, f flags, sigs signals) error {
 	if err := kernel.Start(context.Background()); err != nil {
 		return err
 	}
 	kernel.Log.Info("started")
-	sig := reloadUntilTerminated(sigs, kernel, settingsPath)
+	sig := reloadUntilTerminated(sigs, kernel, f)
 	kernel.Log.WithField("signal", sig.String()).Info("stopping")
 
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), f.StopTimeout)
 	defer cancel()
 	go func() {
 		<-sigs.terminate
@@ -123,26 +132,26 @@
 
 // reloadUntilTerminated reloads the settings on each SIGHUP. It returns the first
 // SIGTERM or SIGINT.
-func reloadUntilTerminated(sigs signals, kernel *arbutusline.Kernel, settingsPath string) os.Signal {
+func reloadUntilTerminated(sigs signals, kernel *arbutusline.Kernel, f flags) os.Signal {
 	for {
 		select {
 		case sig := <-sigs.terminate:
 			return sig
 		case <-sigs.reload:
-			reloadSettings(kernel, settingsPath)
+			reloadSettings(kernel, f)
 		}
 	}
 }
 
-// reloadSettings applies the settings at settingsPath. When they cannot be read or are
-// invalid, it logs the error and the process keeps its settings.
-func reloadSettings(kernel *arbutusline.Kernel, settingsPath string) {
+// reloadSettings reads and applies the settings. When they cannot be read or are invalid, it
+// logs the error and the process keeps its settings.
+func reloadSettings(kernel *arbutusline.Kernel, f flags) {
 	var r arbutusline.ReloadResult
-	file, err := settings.Read(settingsPath)
+	file, err := readSettings(f)
 	if err == nil {
 		r, err = kernel.Reload(file)
 	}
-	log := kernel.Log.WithFields(logrus.Fields{"file": settingsPath, "applied": r.Applied, "next_start": r.PendingRestart})
+	log := kernel.Log.WithFields(logrus.Fields{"file": f.Settings, "applied": r.Applied, "next_start": r.PendingRestart})
 	if err != nil {
 		log.WithError(err).Error("settings reload failed; keeping the current settings")
 		return
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,6 +25,14 @@
 	path    string
 	content []byte
 	modules map[string]moduleSection
+	// overrides replace fields of the file, in the order in which they were given.
+	overrides []override
+}
+
+// override is the value of one field of a module's settings.
+type override struct {
+	module, field string
+	value         json.RawMessage
 }
 
 // moduleSection is the settings object of one module.
@@ -47,6 +55,26 @@
 	return parse(path, text)
 }
 
+// WithOverrides returns the settings with the fields of overrides, each MODULE.FIELD=VALUE, in
+// place of those of the file. A value that is not JSON is a string. It fails with ErrInvalid if
+// an override has another form.
+func (f File) WithOverrides(overrides []string) (File, error) {
+	f.overrides = slices.Clone(f.overrides)
+	for _, text := range overrides {
+		name, value, hasValue := strings.Cut(text, "=")
+		module, field, hasField := strings.Cut(name, ".")
+		if !hasValue || !hasField || module == "" || field == "" {
+			return File{}, errors.Wrapf(ErrInvalid, "override %q is not MODULE.FIELD=VALUE", text)
+		}
+		o := override{module: module, field: field, value: json.RawMessage(value)}
+		if !json.Valid(o.value) {
+			o.value = json.RawMessage(strconv.Quote(value))
+		}
+		f.overrides = append(f.overrides, o)
+	}
+	return f, nil
+}
+
 // Parse parses JSON with comments and trailing commas.
 func Parse(text []byte) (File, error) { return parse("settings", text) }
 
@@ -108,6 +136,11 @@
 			firstOffset = min(firstOffset, s.startOffset)
 		}
 	}
+	for _, o := range f.overrides {
+		if !slices.Contains(names, o.module) {
+			return errors.Wrapf(ErrInvalid, "override of %s.%s: expected one of the modules %q", o.module, o.field, names)
+		}
+	}
 	if len(unknown) == 0 {
 		return nil
 	}
@@ -117,6 +150,28 @@
 
 // Decode writes the settings of the named module over the defaults in dst.
 func (f File) Decode(name string, dst any) error {
+	if err := f.decodeSection(name, dst); err != nil {
+		return err
+	}
+	for _, o := range f.overrides {
+		if o.module != name {
+			continue
+		}
+		text, err := json.Marshal(map[string]json.RawMessage{o.field: o.value})
+		if err == nil {
+			d := json.NewDecoder(bytes.NewReader(text))
+			d.DisallowUnknownFields()
+			err = d.Decode(dst)
+		}
+		if err != nil {
+			return errors.Mark(errors.Wrapf(err, "override of %s.%s", o.module, o.field), ErrInvalid)
+		}
+	}
+	return nil
+}
+
+// decodeSection writes the settings that the file has for a module.
+func (f File) decodeSection(name string, dst any) error {
 	s, ok := f.modules[name]
 	if !ok {
 		return nil
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -70,3 +70,27 @@
 	assert.Error(t, f.WithLocation("b", invalid), "settings of b: size must be positive")
 	assert.NilError(t, f.WithLocation("a", nil))
 }
+
+// Guards against overrides that are lost, taken for another type, or misspelled unnoticed.
+func TestOverridesReplaceFieldsOfTheFile(t *testing.T) {
+	read := func(overrides ...string) (example, error) {
+		var e example
+		f, err := Parse([]byte(`{"a": {"size": 1, "wait": "1s"}}`))
+		assert.NilError(t, err)
+		if f, err = f.WithOverrides(overrides); err != nil {
+			return e, err
+		}
+		if err = f.RejectUnknownModules([]string{"a"}); err != nil {
+			return e, err
+		}
+		return e, f.Decode("a", &e)
+	}
+	e, err := read("a.wait=3000ms", "a.size=7")
+	assert.NilError(t, err)
+	assert.Equal(t, e.Wait.AsDuration(), 3*time.Second)
+	assert.Equal(t, e.Size, 7)
+	for _, bad := range []string{"a.wait", "wait=1s", ".wait=1s", "a.weight=1s", "a.wait=soon", "b.wait=1s"} {
+		_, err := read(bad)
+		assert.Assert(t, errors.Is(err, ErrInvalid), "%s: %v", bad, err)
+	}
+}
