Report readiness only when streams can begin

The check of stream_versions looked only at services that the module had been told of, so that it passed between the moment at which the directory stores a view and that at which it tells its subscribers. And the checks were made in random order, so that the one of stream_versions could pass before the configuration was known and the directory's after it. Now the checks keep the order of the modules, and stream_versions goes by the directory's view.

--- a/cmd/arbutus-front/cluster_test.go
+++ b/cmd/arbutus-front/cluster_test.go
@@ -38,6 +38,8 @@
 	directorySettings string
 	// linger is how long a router that stops still accepts connections.
 	linger string
+	// modules are those of the routers.
+	modules []string
 }
 
 type testRouter struct {
@@ -50,7 +52,7 @@
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, store: &platform.Store{}, endpointServers: map[string]*httptest.Server{}, logs: &logChecker{t: t, loggedMessages: map[string]bool{}}, eraWait: "100ms", linger: "200ms"}
+	c := &cluster{t: t, store: &platform.Store{}, endpointServers: map[string]*httptest.Server{}, logs: &logChecker{t: t, loggedMessages: map[string]bool{}}, eraWait: "100ms", linger: "200ms", modules: modules}
 	c.putConfiguration(1, nil)
 	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 1})
 	return c
@@ -118,7 +120,7 @@
 	log.SetOutput(testLogWriter{c.t})
 	log.AddHook(c.logs)
 	r.kernel = arbutusline.New(file, log.WithField("front", routerNumber))
-	assert.NilError(c.t, r.kernel.Load(modules...))
+	assert.NilError(c.t, r.kernel.Load(c.modules...))
 	c.t.Cleanup(func() { r.stop(c.t) })
 	c.routers = append(c.routers, r)
 	return r
--- a/modules/admin/admin.go
+++ b/modules/admin/admin.go
@@ -43,7 +43,12 @@
 	server          *http.Server
 	stopping        atomic.Bool
 	mu              sync.Mutex
-	readinessChecks map[string]func() error
+	readinessChecks []readinessCheck
+}
+
+type readinessCheck struct {
+	name  string
+	check func() error
 }
 
 // ModuleName returns "admin".
@@ -54,7 +59,6 @@
 	a.log = k.Log.WithField("module", Name)
 	a.registry = prometheus.NewRegistry()
 	a.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	a.readinessChecks = map[string]func() error{}
 	if k.DroppedLogLines != nil {
 		a.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "arbutus_log_lines_dropped_total", Help: "Log lines dropped because the output did not take them.",
@@ -66,11 +70,13 @@
 // Registry returns the registry in which modules register their metrics.
 func (a *Admin) Registry() *prometheus.Registry { return a.registry }
 
-// AddReadinessCheck adds a check. /readyz answers 200 only if all checks return nil.
+// AddReadinessCheck adds a check. /readyz answers 200 only if all checks return nil. They
+// are made in the order in which they were added: a check may rely on the state that those
+// of the modules before it have seen.
 func (a *Admin) AddReadinessCheck(name string, check func() error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.readinessChecks[name] = check
+	a.readinessChecks = append(a.readinessChecks, readinessCheck{name, check})
 }
 
 // SetStopping makes /readyz answer 503 for the rest of the process.
@@ -123,9 +129,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var failures []string
-	for name, check := range a.readinessChecks {
-		if err := check(); err != nil {
-			failures = append(failures, name+": "+err.Error())
+	for _, c := range a.readinessChecks {
+		if err := c.check(); err != nil {
+			failures = append(failures, c.name+": "+err.Error())
 		}
 	}
 	sort.Strings(failures)
--- a/modules/streamversions/streamversions.go
+++ b/modules/streamversions/streamversions.go
@@ -165,12 +165,18 @@
 	return nil
 }
 
-// checkReady fails while the streams of a service with endpoints cannot begin.
+// checkReady fails while the streams of a service with endpoints cannot begin. It goes by the
+// directory's view, which the directory's own check has found complete and of which this
+// module may not have been told yet.
 func (v *StreamVersions) checkReady() error {
+	view := v.directory.View()
+	if view.Config == nil {
+		return nil
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for name, s := range v.services {
-		if s.machine.Table() == nil && len(s.capacity) > 0 {
+	for name := range streamLifetimes(view.Config) {
+		if s := v.services[name]; (s == nil || s.machine.Table() == nil) && len(readyCapacity(view, name)) > 0 {
 			return errors.Newf("no software versions are assigned to the streams of %s", name)
 		}
 	}
@@ -200,12 +206,7 @@
 		}
 		s.machine.SetStreamLifetime(lifetime)
 		v.recordLifetime = max(v.recordLifetime, lifetime+spreadTime)
-		s.capacity = versionpin.Capacity{}
-		for _, e := range view.EndpointsByService[name] {
-			if e.State == fleet.Ready {
-				s.capacity[e.SoftwareVersion] += e.Slots
-			}
-		}
+		s.capacity = readyCapacity(view, name)
 		spec, position := v.directory.EntryLocked(directory.KindSoftwareVersions, name)
 		if position.Era > 0 || position.Revision > 0 || v.directory.RoutersKnownLocked() {
 			s.machine.ObserveStored(bootclock.Now(), v.decodeTable(name, spec), position)
@@ -214,6 +215,17 @@
 	}
 }
 
+// readyCapacity returns the slots of a service's ready endpoints by software version.
+func readyCapacity(view *fleet.View, service string) versionpin.Capacity {
+	out := versionpin.Capacity{}
+	for _, e := range view.EndpointsByService[service] {
+		if e.State == fleet.Ready {
+			out[e.SoftwareVersion] += e.Slots
+		}
+	}
+	return out
+}
+
 // streamLifetimes returns the longest lifetime of a stream for each service with resumable
 // streams.
 func streamLifetimes(c *fleet.Configuration) map[string]time.Duration {
