--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -59,16 +59,16 @@
 			}
 		})
 	}
-	running.Go(func() { d.probeRouters(ctx) })
+	running.Go(func() { d.probeRouters(ctx, d.routers) })
 	running.Wait()
 }
 
-// probeRouters records the configuration versions of all routers until ctx ends.
-func (d *deployment) probeRouters(ctx context.Context) {
+// probeRouters records the configuration versions of routers until ctx ends.
+func (d *deployment) probeRouters(ctx context.Context, routers []*router) {
 	client := &http.Client{Timeout: callDeadline}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		for _, r := range d.routers {
+		for _, r := range routers {
 			if r.isInRotation() {
 				r.probeConfiguration(ctx, client)
 			}
