Soak: log when the test process lacks processor time

The store, the endpoints and the proxies run in the test process. When it is starved, all of them look silent, and calls end late with nothing in the logs that says why.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -130,6 +130,7 @@
 	d.history.EventsPerStream = eventsPerStream
 	d.publishNextConfiguration()
 	d.publishNextWeightsVersion()
+	d.logScheduleDelays()
 	store := httptest.NewServer(d.store)
 	t.Cleanup(store.Close)
 	for i := range serviceCount {
