--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -81,9 +81,6 @@
 	coverTime = 2 * time.Second
 	// maxLimitsPerMessage is the maximum number of endpoint limits in a message.
 	maxLimitsPerMessage = 256
-	// recordHolders is the number of routers that hold the records of streams of each other one,
-	// so that two can die with it.
-	recordHolders = 3
 	// maxCrashReportsPerMessage is the maximum number of crash reports in a message.
 	maxCrashReportsPerMessage = 64
 )
@@ -409,24 +406,15 @@
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		begin = bootclock.Now()
-		state := x.buildState(nil, kinds)
-		if x.holdsRecordsOf(p) {
-			state.StreamRecords = encodeCursor(x.versions.HeldRecords(p.address))
-		}
-		response, err = arbutuspb.NewRouterClient(conn).Exchange(ctx, state)
-	}
-	if x.recordCall(p, err) {
-		x.versions.TakeOverRecords(p.address)
+		response, err = arbutuspb.NewRouterClient(conn).Exchange(ctx, x.buildState(nil, kinds))
 	}
+	x.recordCall(p, err)
 	if err == nil {
 		x.applyState(response)
 		x.confirmReplicas(begin, response.GetPositions())
 		// Contact stands for knowledge, so that it begins when the state has been taken over.
 		x.directory.ObserveContact()
 		x.versions.ObservePromises(response.GetName(), begin, decodePromises(response.GetTablePromises()))
-		if r := response.GetStreamRecords(); r != nil {
-			x.versions.HoldRecords(p.address, r.GetRecords(), decodeCursor(r))
-		}
 	}
 }
 
@@ -479,9 +467,8 @@
 }
 
 // recordCall records the result of a call to a peer. After failuresBeforeRedial
-// consecutive failures it marks the peer as unreachable and closes the connection. It reports
-// whether the peer has become unreachable.
-func (x *Exchange) recordCall(p *peer, err error) (lost bool) {
+// consecutive failures it marks the peer as unreachable and closes the connection.
+func (x *Exchange) recordCall(p *peer, err error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	p.callInProgress, p.asked = false, true
@@ -491,19 +478,18 @@
 			x.log.WithField("address", p.address).Info("router reachable again")
 		}
 		p.consecutiveFailures, p.lastResponseAt, p.unreachable = 0, time.Now(), false
-		return false
+		return
 	}
 	x.calls.WithLabelValues("failed").Inc()
 	p.consecutiveFailures++
 	if p.consecutiveFailures%failuresBeforeRedial != 0 {
-		return false
+		return
 	}
-	if lost = !p.unreachable; lost {
+	if !p.unreachable {
 		x.log.WithError(err).WithField("address", p.address).Warn("router unreachable")
 	}
 	p.unreachable = true
 	p.close()
-	return lost
 }
 
 func (p *peer) close() {
--- a/modules/streamversions/takeup.go
+++ b/modules/streamversions/takeup.go
@@ -103,15 +103,9 @@
 func (v *StreamVersions) recordedVersion(ctx context.Context, stream uint64) string {
 	v.mu.Lock()
 	version, recorded := v.records.Version(stream)
-	held, isHeld := v.held.Version(stream)
 	v.mu.Unlock()
-	switch {
-	case recorded && (!isHeld || held == version):
+	if recorded {
 		return version
-	case recorded:
-		return "" // Streams of two versions have this ID.
-	case isHeld:
-		return held
 	}
 	if err := v.recordsRead.do(ctx, &v.goroutines, v.listRecords); err != nil {
 		v.log.WithError(err).Info("failed to list records of streams")
