Log the connection of failed attempts and responses to other requests

'attempt failed' named neither the connection that carried a request nor what arrived before the response, so that a copy of an earlier refusal, a request that counted as not sent and a response of a run could not be told apart.

'attempt failed' has connection, carried and skipped; each response to another request has a line and arbutus_upstream_responses_skipped_total.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -33,7 +33,9 @@
 	"attempt failed": {
 		"request", "route", "service", "endpoint", "address", "software", "try", "result", "status", "weights", "cost_ms", "age_ms",
 		"left_ms", "last_event", "configuration", "shared_parts", "head", "events", "try_ms", "error",
+		"connection", "carried", "skipped",
 	},
+	"skipped response to another request": {"request", "address", "connection", "carried", "response_to", "status", "not_run"},
 	"request refused because of overload": {
 		"request", "route", "service", "reason", "endpoint", "wait_ms", "prefill_ms", "margin_ms", "objective_ms", "left_ms",
 		"retry_after_ms",
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -116,6 +116,8 @@
 	headReceived bool
 	eventCount   int
 	duration     time.Duration
+	// connection is the connection that carried the request.
+	connection upstream.ConnectionInfo
 	// wrongEndpoint means that another endpoint now uses the address.
 	wrongEndpoint bool
 	// endedByRouter means that the router gave up connecting to the endpoint for a reason
@@ -297,6 +299,7 @@
 		"age_ms": time.Since(x.req.ArrivedAt).Milliseconds(), "left_ms": time.Until(x.req.Deadline).Milliseconds(),
 		"last_event": x.lastEventID, "configuration": x.req.ConfigurationVersion, "shared_parts": x.formatSharedParts(),
 		"head": x.lastResult.headReceived, "events": x.lastResult.eventCount, "try_ms": x.lastResult.duration.Milliseconds(),
+		"connection": x.lastResult.connection.LocalAddress, "carried": x.lastResult.connection.Carried, "skipped": x.lastResult.connection.Skipped,
 	}).WithError(x.lastResult.err).Warn("attempt failed")
 	if x.lastResult.kind == resultIncompleteResponse && x.lastResult.eventCount == 0 && !errors.Is(x.lastResult.err, bytebudget.ErrExhausted) {
 		x.reportCrash(c.Endpoint.ID)
@@ -442,6 +445,7 @@
 	a.logSentToOldWeights()
 	res := a.run(ctx)
 	res.headReceived, res.eventCount, res.duration = a.headReceived, a.eventCount, time.Since(a.startedAt)
+	res.connection = a.connection
 	a.recordEnd(res)
 	return res
 }
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -44,6 +44,7 @@
 	// its own.
 	silenceTimer *time.Timer
 	startedAt    time.Time
+	connection   upstream.ConnectionInfo
 	headReceived bool
 	eventCount   int
 	// prefillEndRecorded is true after recordPrefillEnded was called. Only the attempt's
@@ -75,6 +76,7 @@
 	}
 	request := a.upstreamRequest(a.choice)
 	response, err := a.relay.upstream.Do(ctx, a.choice.Endpoint.Address, request)
+	a.connection = request.Connection
 	if !request.SentAt.IsZero() {
 		a.report.TimeToSend = request.SentAt.Sub(a.req.ArrivedAt)
 	}
--- a/modules/upstream/conn.go
+++ b/modules/upstream/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 
 	"github.com/arbutusline/arbutusline/decision/bytebudget"
@@ -49,6 +50,8 @@
 	reader      *bufio.Reader
 	idleSince   time.Time
 	maxIdleTime time.Duration
+	// carried is the number of requests that were sent on the connection.
+	carried int
 	// ctx ends with the context of the current request, or by a call of end.
 	ctx context.Context
 	end context.CancelCauseFunc
@@ -165,6 +168,8 @@
 func (cn *conn) roundTrip(r *Request) (*Response, error) {
 	head := r.encodeHead()
 	r.SentAt = time.Now()
+	r.Connection = ConnectionInfo{LocalAddress: cn.netConn.LocalAddr().String(), Carried: cn.carried}
+	cn.carried++
 	cn.writeResult = make(chan error, 1)
 	if len(r.Body) < minConcurrentWriteBytes {
 		_, err := cn.netConn.Write(append(head, r.Body...))
@@ -182,6 +187,7 @@
 			if response.Header.Get(platform.HeaderRequestID) == r.ID {
 				return cn.newResponse(response, lease), nil
 			}
+			cn.recordSkipped(r, response)
 			err = discardResponse(response)
 		}
 		lease.Release()
@@ -193,6 +199,17 @@
 	return nil, errors.New("received only responses to other requests")
 }
 
+// recordSkipped counts and logs a response to another request than the one that was sent last.
+func (cn *conn) recordSkipped(r *Request, response *http.Response) {
+	r.Connection.Skipped++
+	cn.client.responsesSkipped.Inc()
+	cn.client.log.WithFields(logrus.Fields{
+		"request": r.ID, "address": cn.address, "connection": r.Connection.LocalAddress, "carried": r.Connection.Carried,
+		"response_to": response.Header.Get(platform.HeaderRequestID), "status": response.StatusCode,
+		"not_run": response.Header.Get(platform.HeaderNotExecuted) != "",
+	}).Warn("skipped response to another request")
+}
+
 func (cn *conn) readHead(method string, lease *bytebudget.Lease) (*http.Response, error) {
 	cn.limiter.begin(lease)
 	defer cn.limiter.end()
--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
 
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/decision/bytebudget"
@@ -96,6 +97,7 @@
 	// shorter time. Default 4s.
 	MaxIdleTime settings.Duration `json:"max_idle"`
 
+	log *logrus.Entry
 	// memory is the memory for responses.
 	memory *bytebudget.Pool
 
@@ -105,6 +107,7 @@
 	mu                sync.Mutex
 	pools             map[string]*pool
 	connectionsOpened prometheus.Counter
+	responsesSkipped  prometheus.Counter
 	failures          *prometheus.CounterVec
 }
 
@@ -120,10 +123,14 @@
 
 // Provision registers the metrics.
 func (c *Client) Provision(k *arbutusline.Kernel) error {
+	c.log = k.Log.WithField("module", Name)
 	c.pools = map[string]*pool{}
 	c.connectionsOpened = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "arbutus_upstream_connections_opened_total", Help: "Connections opened to endpoints.",
 	})
+	c.responsesSkipped = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "arbutus_upstream_responses_skipped_total", Help: "Responses of endpoints to other requests than the one that was waiting.",
+	})
 	c.failures = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "arbutus_upstream_failures_total", Help: "Failed exchanges with endpoints by reason.",
 	}, []string{"reason"})
@@ -131,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	a.Registry().MustRegister(c.connectionsOpened, c.failures)
+	a.Registry().MustRegister(c.connectionsOpened, c.responsesSkipped, c.failures)
 	m, err := arbutusline.Lookup[*memory.Memory](k, memory.Name)
 	if err != nil {
 		return err
@@ -193,6 +200,19 @@
 	// SentAt is when Do began to send the request. Do sets it; it stays zero if no
 	// connection was available.
 	SentAt time.Time
+	// Connection describes the connection on which Do sent the request.
+	Connection ConnectionInfo
+}
+
+// ConnectionInfo describes a connection to an endpoint as a request found it.
+type ConnectionInfo struct {
+	// LocalAddress is the router's address of the connection, by which the endpoint knows it. It is
+	// empty if the request was not sent.
+	LocalAddress string
+	// Carried is the number of requests that the connection had carried before.
+	Carried int
+	// Skipped is the number of responses to other requests that were read before the response.
+	Skipped int
 }
 
 // Response is an endpoint's response. Body must be closed. Its Read fails with
--- a/modules/upstream/upstream_test.go
+++ b/modules/upstream/upstream_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"github.com/arbutusline/arbutusline/decision/bytebudget"
@@ -27,6 +28,8 @@
 		DialTimeout: settings.Duration(time.Second), AckTimeout: settings.Duration(time.Second),
 		MaxIdleTime: settings.Duration(time.Second), pools: map[string]*pool{}, memory: bytebudget.New(testMemoryBytes, nil),
 		connectionsOpened: prometheus.NewCounter(prometheus.CounterOpts{Name: "opened"}),
+		responsesSkipped:  prometheus.NewCounter(prometheus.CounterOpts{Name: "skipped"}),
+		log:               logrus.NewEntry(logrus.New()),
 		failures:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "broken"}, []string{"reason"}),
 	}
 }
