Reproduce requests that run twice after a repeated refusal

The stand-in of endpoints can write each refusal a second time when the next request has arrived on its connection.

--- a/cmd/arbutus-front/cluster_test.go
+++ b/cmd/arbutus-front/cluster_test.go
@@ -73,7 +73,9 @@
 		e.SetWeightsVersion(1)
 		c.engines = append(c.engines, e)
 	}
-	server := httptest.NewServer(e)
+	server := httptest.NewUnstartedServer(e)
+	server.Config.ConnContext = platform.WithConnection
+	server.Start()
 	c.t.Cleanup(server.Close)
 	c.endpointServers[e.ID] = server
 	c.registerEndpoint(e, "ready")
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -236,7 +236,9 @@
 // it an endpoint of the plain service.
 func (d *deployment) startEndpoint(name, model string) *endpoint {
 	e := &endpoint{deployment: d, name: name, softwareVersion: "v1"}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.current().ServeHTTP(w, r) }))
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.current().ServeHTTP(w, r) }))
+	server.Config.ConnContext = platform.WithConnection
+	server.Start()
 	d.t.Cleanup(server.Close)
 	e.proxy = d.startProxy("127.0.0.1:0", strings.TrimPrefix(server.URL, "http://"))
 	e.startIncarnation(model, d.weightsVersion)
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -68,6 +68,8 @@
 	resumedFailure *resumedFailure
 	// executedStatus is the status of the responses to all executed requests, or 0.
 	executedStatus int
+	// repeatsRefusals makes refusals come twice.
+	repeatsRefusals bool
 	// responseHeader is added to all responses.
 	responseHeader http.Header
 }
@@ -263,9 +265,9 @@
 // ServeHTTP serves the engine API and executes all other requests.
 func (e *Endpoint) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	e.addResponseHeader(rw.Header())
+	repeatRefusal(r)
 	if expectedID := r.Header.Get("Expect-Instance"); expectedID != "" && expectedID != e.ID {
-		rw.Header().Set("Instance-Id", e.ID)
-		rw.WriteHeader(http.StatusMisdirectedRequest)
+		e.refuse(rw, r, http.StatusMisdirectedRequest)
 		return
 	}
 	switch r.URL.Path {
@@ -343,9 +345,7 @@
 	fault, refusalStatus := e.beginRequest(r, string(body))
 	id := r.Header.Get("Request-Id")
 	if refusalStatus != 0 {
-		rw.Header().Set("Request-Id", id)
-		rw.Header().Set("Not-Executed", "1")
-		rw.WriteHeader(refusalStatus)
+		e.refuse(rw, r, refusalStatus)
 		return
 	}
 	defer e.endRequest()
