Send no request twice on one connection to an endpoint

An endpoint may write a refusal a second time, late, with the ID of the refused request. When the same request was under way again on that connection, the copy counted as the response to it: 'not run', while the endpoint ran it, and the router sent it to another endpoint or told the caller that it had not run.

Requests come twice to one address although endpoints that were tried are left out: the entry of an endpoint outlives it by up to three heartbeats, its successor at the same address refuses what is meant for it, and is tried next under its own ID. The pool goes by address and gives out the connection that was used last. A caller that sends an ID again has the same effect.

A connection now remembers the IDs that it has carried and carries none of them again, so that a response with the request's ID can only be the response to it. It is closed after 1,000 requests, which bounds what it remembers. At the connection limit an idle connection gives way.

The soak gives endpoints an entry of their predecessor, and every other incarnation repeats refusals.

--- a/modules/upstream/conn.go
+++ b/modules/upstream/conn.go
@@ -7,11 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
@@ -50,8 +52,8 @@
 	reader      *bufio.Reader
 	idleSince   time.Time
 	maxIdleTime time.Duration
-	// carried is the number of requests that were sent on the connection.
-	carried int
+	// carried holds a hash of the ID of each request that was sent on the connection.
+	carried []uint64
 	// ctx ends with the context of the current request, or by a call of end.
 	ctx context.Context
 	end context.CancelCauseFunc
@@ -109,6 +111,15 @@
 	return n, err
 }
 
+// mayCarry reports whether a response on the connection can only be the response to the request, or
+// bears another ID. After a request with the same ID an endpoint may send the response to that one
+// once more.
+func (cn *conn) mayCarry(r *Request) bool {
+	return r.ID == "" || !slices.Contains(cn.carried, hashID(r.ID))
+}
+
+func hashID(id string) uint64 { return xxhash.Sum64String(id) }
+
 // closeOnContextEnd closes the connection when ctx ends, unless stopWatchingContext is
 // called before.
 func (cn *conn) closeOnContextEnd(ctx context.Context) {
@@ -139,6 +150,11 @@
 	})
 }
 
+// discardKeepingSlot closes an idle connection whose slot in the pool passes to another one.
+func (cn *conn) discardKeepingSlot() {
+	cn.closeOnce.Do(func() { _ = cn.netConn.Close() }) // The connection is not used again.
+}
+
 // isUsable reports whether an idle connection is open and has no unread data. Data that
 // arrives between responses belongs to no request.
 func (cn *conn) isUsable() bool {
@@ -168,8 +184,8 @@
 func (cn *conn) roundTrip(r *Request) (*Response, error) {
 	head := r.encodeHead()
 	r.SentAt = time.Now()
-	r.Connection = ConnectionInfo{LocalAddress: cn.netConn.LocalAddr().String(), Carried: cn.carried}
-	cn.carried++
+	r.Connection = ConnectionInfo{LocalAddress: cn.netConn.LocalAddr().String(), Carried: len(cn.carried)}
+	cn.carried = append(cn.carried, hashID(r.ID))
 	cn.writeResult = make(chan error, 1)
 	if len(r.Body) < minConcurrentWriteBytes {
 		_, err := cn.netConn.Write(append(head, r.Body...))
@@ -291,7 +307,7 @@
 	b.lease.Release()
 	stillOpen := cn.stopWatchingContext()
 	defer cn.end(nil)
-	if !stillOpen || b.readFailed || !b.reachedEOF || !b.reusable || !cn.writeSucceeded() || cn.reader.Buffered() > 0 {
+	if !stillOpen || b.readFailed || !b.reachedEOF || !b.reusable || !cn.writeSucceeded() || cn.reader.Buffered() > 0 || len(cn.carried) >= maxRequestsPerConn {
 		cn.discard()
 		return nil
 	}
--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -70,6 +71,9 @@
 	// expiryInterval is the time between two searches for connections that have been idle for
 	// too long: short against MaxIdleTime, after which they are not used any more.
 	expiryInterval = time.Second
+	// maxRequestsPerConn is the number of requests after which a connection is closed. It bounds
+	// what the connection remembers of them to 8 KB.
+	maxRequestsPerConn = 1000
 	// maxHeadBytes bounds the head of a response, with the bytes of the body that are read
 	// along with it. Bytes that are no response may come without end.
 	maxHeadBytes = 64 << 10
@@ -187,7 +191,7 @@
 	Header http.Header
 	Body   []byte
 	// ID is the request's ID, which the response must repeat. If it is empty, the response
-	// must have none.
+	// must have none. No connection carries two requests with the same ID.
 	ID string
 	// MaxIdleTime is the longest time that a connection may have been idle before it
 	// is used for this request. 0 means the client's limit.
@@ -294,7 +298,7 @@
 		limit = min(limit, r.MaxIdleTime)
 	}
 	for {
-		cn, err := c.popIdleOrReserveSlot(address, r.MaxConnections)
+		cn, err := c.popIdleOrReserveSlot(address, r)
 		if err != nil {
 			return nil, err
 		}
@@ -308,9 +312,9 @@
 	}
 }
 
-// popIdleOrReserveSlot returns an idle connection. If there is none, it reserves a slot
-// for a new connection and returns nil. It fails if maxConnections are open.
-func (c *Client) popIdleOrReserveSlot(address string, maxConnections int) (*conn, error) {
+// popIdleOrReserveSlot returns an idle connection that may carry the request. If there is none, it
+// reserves a slot for a new connection and returns nil. It fails if MaxConnections are in use.
+func (c *Client) popIdleOrReserveSlot(address string, r *Request) (*conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[address]
@@ -318,18 +322,33 @@
 		p = &pool{}
 		c.pools[address] = p
 	}
-	if n := len(p.idle); n > 0 {
-		cn := p.idle[n-1]
-		p.idle = p.idle[:n-1]
+	if cn := p.popIdle(r); cn != nil {
 		return cn, nil
 	}
-	if maxConnections > 0 && p.openCount >= maxConnections {
+	if r.MaxConnections <= 0 || p.openCount < r.MaxConnections {
+		p.openCount++
+		return nil, nil
+	}
+	if len(p.idle) == 0 {
 		return nil, errors.Newf("connection limit reached: %d connections are open", p.openCount)
 	}
-	p.openCount++
+	p.idle[0].discardKeepingSlot()
+	p.idle = slices.Delete(p.idle, 0, 1)
 	return nil, nil
 }
 
+// popIdle removes the connection that was used last among those that may carry the request, and
+// returns it. It returns nil if there is none.
+func (p *pool) popIdle(r *Request) *conn {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if cn := p.idle[i]; cn.mayCarry(r) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return cn
+		}
+	}
+	return nil
+}
+
 // dial opens a connection in a reserved slot. It releases the slot on failure.
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	d := net.Dialer{
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -218,6 +218,16 @@
 			e.restart(duration)
 		}
 	},
+	// An endpoint has its own entry and that of its predecessor at the same address. Every other
+	// incarnation repeats its refusals of requests for the predecessor.
+	func(d *deployment, target int, duration time.Duration) {
+		e := d.endpointAt(target)
+		if e.interruptMu.TryLock() {
+			defer e.interruptMu.Unlock()
+			d.recordFault("restart with two entries of "+e.name, "", false, 2*duration)
+			e.restartWithEntry(duration/4, 2*duration)
+		}
+	},
 	// A router alone loses the store while an engine is replaced by one of another software
 	// version and streams break.
 	func(d *deployment, target int, duration time.Duration) {
