Send an order on a connection without an earlier call of the engine API

Calls of the engine API bear no ID, so that a copy of an earlier response on the same connection counted as the response to an order. An order that an engine carries out would count as refused and be sent again.

A call without an ID that is no GET uses a connection that has carried no other such call. Orders are few: one for each engine and weights version.

TestOrderDoesNotGetTheResponseToAnEarlierCall failed before and passes.

--- a/modules/upstream/conn.go
+++ b/modules/upstream/conn.go
@@ -113,9 +113,12 @@
 
 // mayCarry reports whether a response on the connection can only be the response to the request, or
 // bears another ID. After a request with the same ID an endpoint may send the response to that one
-// once more.
+// once more. For a call by GET without an ID that is an older reading of what it asks for.
 func (cn *conn) mayCarry(r *Request) bool {
-	return r.ID == "" || !slices.Contains(cn.carried, hashID(r.ID))
+	if r.ID == "" && r.Method == http.MethodGet {
+		return true
+	}
+	return !slices.Contains(cn.carried, hashID(r.ID))
 }
 
 func hashID(id string) uint64 { return xxhash.Sum64String(id) }
--- a/modules/upstream/repeated_test.go
+++ b/modules/upstream/repeated_test.go
@@ -88,3 +88,26 @@
 	}
 	assert.Equal(t, connections.Load(), int32(2))
 }
+
+// Guards against taking the copy of an earlier response of the engine API, which bears no ID, for
+// the response to an order: the order counts as refused, is carried out, and is sent again.
+func TestOrderDoesNotGetTheResponseToAnEarlierCall(t *testing.T) {
+	for _, earlier := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(earlier, func(t *testing.T) {
+			client := newClient()
+			address, connections := startRepeatingEndpoint(t)
+			for _, step := range []struct {
+				method, id          string
+				status, connections int
+			}{
+				{earlier, "", http.StatusServiceUnavailable, 1}, {http.MethodPost, "", http.StatusOK, 2},
+				{http.MethodPost, "a", http.StatusOK, 2}, {http.MethodGet, "", http.StatusOK, 2},
+			} {
+				status, err := send(client, address, step.method, step.id, 0)
+				assert.NilError(t, err)
+				assert.Equal(t, status, step.status, "%+v", step)
+				assert.Equal(t, int(connections.Load()), step.connections, "%+v", step)
+			}
+		})
+	}
+}
--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -191,7 +191,8 @@
 	Header http.Header
 	Body   []byte
 	// ID is the request's ID, which the response must repeat. If it is empty, the response
-	// must have none. No connection carries two requests with the same ID.
+	// must have none. No connection carries a request with an ID that it has carried, or a call
+	// without one after another such call, unless it is by GET.
 	ID string
 	// MaxIdleTime is the longest time that a connection may have been idle before it
 	// is used for this request. 0 means the client's limit.
