Open a connection for each request that an agent passes to its endpoint

A response to an earlier request that comes once more on a kept connection counted as the response to the next one: a completion that ran counted as rejected and went to another engine, and a call of a plain service that may be repeated got the answer to another call. Responses in the engine protocol bear no ID.

Only calls that must run once had a connection of their own. Now all requests of callers have one; the endpoint is on the same host. Polls keep theirs.

TestEarlierRejectionIsNotTheResponseToACompletion and TestEarlierResponseIsNotThatOfAServiceCall failed before and pass.

--- a/modules/engine/engine.go
+++ b/modules/engine/engine.go
@@ -85,15 +85,17 @@
 	// Default 16.
 	MaxRunning int `json:"max_running"`
 
-	log              *logrus.Entry
-	memory           *bytebudget.Pool
-	client           *http.Client
-	atMostOnceClient *http.Client
-	info             atomic.Pointer[Info]
-	observer         Observer
-	cancel           context.CancelFunc
-	pollLoopDone     chan struct{}
-	probeRequests    chan struct{}
+	log    *logrus.Entry
+	memory *bytebudget.Pool
+	// client keeps its connections. It polls and controls the endpoint.
+	client *http.Client
+	// requestClient opens a connection for each request.
+	requestClient *http.Client
+	info          atomic.Pointer[Info]
+	observer      Observer
+	cancel        context.CancelFunc
+	pollLoopDone  chan struct{}
+	probeRequests chan struct{}
 }
 
 // Observer is notified of the state of the engine. Its methods are called from one
@@ -140,9 +142,10 @@
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
-	// The HTTP client repeats a request with an Idempotency-Key header by itself
-	// if a reused connection breaks. It never does so without reused connections.
-	e.atMostOnceClient = &http.Client{Transport: &http.Transport{
+	// The response to an earlier request can come once more on a connection, without anything that
+	// tells it from the next one. The HTTP client also repeats a request with an Idempotency-Key
+	// header by itself if a reused connection breaks.
+	e.requestClient = &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
@@ -208,7 +211,7 @@
 	if err != nil {
 		return CompletionResult{}, errors.Mark(err, ErrNotSent)
 	}
-	resp, err := e.send(ctx, e.client, http.MethodPost, e.URL+"/v1/completions", nil, body)
+	resp, err := e.send(ctx, e.requestClient, http.MethodPost, e.URL+"/v1/completions", nil, body)
 	if err != nil {
 		return CompletionResult{}, err
 	}
@@ -277,8 +280,6 @@
 	Path    string
 	Headers map[string]string
 	Body    []byte
-	// AtMostOnce is true when the call must not run more than once.
-	AtMostOnce bool
 }
 
 // ServiceAnswer is the answer of a plain service.
@@ -291,13 +292,9 @@
 // CallService calls the plain service. Its error is ErrNotSent, ErrConnectionBroken or
 // ErrAnswerTooLarge. An answer with any HTTP status is no error.
 func (e *Engine) CallService(ctx context.Context, c ServiceCall) (ServiceAnswer, error) {
-	client := e.client
-	if c.AtMostOnce {
-		client = e.atMostOnceClient
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	resp, err := e.send(ctx, client, c.Method, e.URL+c.Path, c.Headers, c.Body)
+	resp, err := e.send(ctx, e.requestClient, c.Method, e.URL+c.Path, c.Headers, c.Body)
 	if err != nil {
 		return ServiceAnswer{}, err
 	}
--- a/modules/runner/execute.go
+++ b/modules/runner/execute.go
@@ -100,11 +100,10 @@
 	defer attempt.cancel()
 	call := attempt.request.ServiceCall
 	answer, err := r.engine.CallService(attempt.ctx, engine.ServiceCall{
-		Method:     call.Method,
-		Path:       call.Path,
-		Headers:    call.Headers,
-		Body:       call.Body,
-		AtMostOnce: attempt.atMostOnce(),
+		Method:  call.Method,
+		Path:    call.Path,
+		Headers: call.Headers,
+		Body:    call.Body,
 	})
 	if err != nil {
 		r.recordFailure(attempt, err)
