Open a connection for each call of an agent to its engine's orders

The copy of an earlier response counted as the response to an order: the engine carries the order out, and the agent reports it as refused, so that the router sends it again. The engine protocol has no IDs in responses.

--- a/modules/orders/agent.go
+++ b/modules/orders/agent.go
@@ -57,6 +57,13 @@
 	fencingTokenGuard rollout.FencingTokenGuard
 }
 
+// newEngineClient returns the HTTP client for an engine. It opens a connection for each call, because
+// the response to an earlier call can come once more on a connection, without anything that tells it
+// from the next one.
+func newEngineClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
 // Give implements the Orders service.
 func (s *orderServer) Give(ctx context.Context, in *pb.OrderRequest) (*pb.OrderResponse, error) {
 	s.mu.Lock()
--- a/modules/orders/orders.go
+++ b/modules/orders/orders.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
@@ -149,7 +148,7 @@
 		return nil
 	}
 	pb.RegisterOrdersServer(server.Registrar(), &orderServer{
-		endpoint: self.Endpoint, engineURL: e.URL, httpClient: &http.Client{}, store: m.store, callTimeout: m.CallTimeout.AsDuration(),
+		endpoint: self.Endpoint, engineURL: e.URL, httpClient: newEngineClient(), store: m.store, callTimeout: m.CallTimeout.AsDuration(),
 		answeredOrders: m.metrics.answeredOrders,
 	})
 	return nil
--- a/modules/orders/orders_test.go
+++ b/modules/orders/orders_test.go
@@ -39,7 +39,7 @@
 }
 
 func newOrderServer(name, url string, store objectstore.Store) *orderServer {
-	return &orderServer{endpoint: name, engineURL: url, httpClient: &http.Client{}, store: store, callTimeout: 2 * time.Second, answeredOrders: newMetrics().answeredOrders}
+	return &orderServer{endpoint: name, engineURL: url, httpClient: newEngineClient(), store: store, callTimeout: 2 * time.Second, answeredOrders: newMetrics().answeredOrders}
 }
 
 func writeLease(t *testing.T, store objectstore.Store, token uint64) {
