--- a/modules/upstream/conn.go
+++ b/modules/upstream/conn.go
@@ -220,11 +220,12 @@
 
 // recordSkipped counts and logs a response to another request than the one that was sent last.
 func (cn *conn) recordSkipped(r *Request, response *http.Response) {
+	id := response.Header.Get(platform.HeaderRequestID)
 	r.Connection.Skipped++
 	cn.client.responsesSkipped.Inc()
 	cn.client.log.WithFields(logrus.Fields{
 		"request": r.ID, "address": cn.address, "connection": r.Connection.LocalAddress, "carried": r.Connection.Carried,
-		"response_to": response.Header.Get(platform.HeaderRequestID), "status": response.StatusCode,
+		"response_to": id[:min(len(id), maxLoggedIDBytes)], "status": response.StatusCode,
 		"not_run": response.Header.Get(platform.HeaderNotExecuted) != "",
 	}).Warn("skipped response to another request")
 }
--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -74,6 +74,8 @@
 	// maxRequestsPerConn is the number of requests after which a connection is closed. It bounds
 	// what the connection remembers of them to 2 KB, and to 8 MB over 4,100 connections.
 	maxRequestsPerConn = 256
+	// maxLoggedIDBytes bounds the ID of another request in a log line.
+	maxLoggedIDBytes = 64
 	// maxHeadBytes bounds the head of a response, with the bytes of the body that are read
 	// along with it. Bytes that are no response may come without end.
 	maxHeadBytes = 64 << 10
