--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -45,7 +45,7 @@
 
 // Guards against violations of the guarantees that History.Violations checks, under
 // random faults. It runs ARBUTUS_SOAK_SEEDS seeds, 2 by default, beginning with
-// ARBUTUS_SOAK_FIRST.
+// ARBUTUS_SOAK_FIRST, with 3 or 4 routers or ARBUTUS_SOAK_ROUTERS.
 func TestSoak(t *testing.T) {
 	first, seeds := envUint("ARBUTUS_SOAK_FIRST", 1), envUint("ARBUTUS_SOAK_SEEDS", 2)
 	for seed := first; seed < first+seeds; seed++ {
@@ -83,7 +83,8 @@
 	if fewWatchers {
 		watchers = 1
 	}
-	d := newDeployment(t, int(seed), watchers, 3+rng.IntN(2), 2+rng.IntN(2), 3+rng.IntN(3))
+	routers := 3 + rng.IntN(2)
+	d := newDeployment(t, int(seed), watchers, int(envUint("ARBUTUS_SOAK_ROUTERS", uint64(routers))), 2+rng.IntN(2), 3+rng.IntN(3))
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	callers.Go(func() { d.runCallers(ctx, seed, "t") })
