--- a/cmd/arbutus-front/repeatedrefusal_test.go
+++ b/cmd/arbutus-front/repeatedrefusal_test.go
@@ -72,6 +72,7 @@
 	for path, newEndpoint := range onceRoutes {
 		t.Run(path, func(t *testing.T) {
 			_, router, endpoints := newRepeatingPair(t, newEndpoint)
+			sentAgain := 0
 			for i := range 8 {
 				id := fmt.Sprintf("r%d", i)
 				for _, e := range endpoints {
@@ -86,7 +87,9 @@
 					e.InjectFault(0, "")
 				}
 				assertRanOnceAtMost(t, router.sendTo(id, path), id, endpoints)
+				sentAgain++
 			}
+			assert.Assert(t, sentAgain > 0, "no request was refused")
 		})
 	}
 }
