--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -1,6 +1,6 @@
 // Package upstream is the module "upstream", an HTTP client with a connection pool per
-// endpoint. It sends one request at a time on a connection, matches each response with
-// its request by ID, and reports for every failure whether the request may have run.
+// endpoint. It sends one request at a time on a connection and no ID twice, matches each
+// response with its request by ID, and reports for every failure whether the request may have run.
 package upstream
 
 import (
@@ -193,8 +193,8 @@
 	Header http.Header
 	Body   []byte
 	// ID is the request's ID, which the response must repeat. If it is empty, the response
-	// must have none. No connection carries a request with an ID that it has carried, or a call
-	// without one after another such call, unless it is by GET.
+	// must have none. A connection carries each ID once. A call without an ID, other than by GET,
+	// gets a connection that has carried no such call.
 	ID string
 	// MaxIdleTime is the longest time that a connection may have been idle before it
 	// is used for this request. 0 means the client's limit.
