Take a stated version for no configuration

Cause: a router that starts in an era which has not settled takes the configuration of the store once another router has stated its version, which was taken for its content. The content is sent only in responses, and only when the replica of the sender lacks it. So a call of another router that arrives first, or the response of one that has not noticed the restore, whose replica of the era before holds the configuration, made the copy trusted. The more routers there are, the more call first.

A router that starts now remembers the newest stated version and takes the store's configuration only if that is as new; it asks again when all were asked. A router sends its configuration to any that has none, and to all when its replica has lost the object. If the routers that had the stated version are gone, the one that started waits until operators must have written it again.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -115,7 +115,7 @@
 	"failed to register router; retrying": {"error"},
 	"store lacks the requested changes; listing objects again": {"kind", "era", "revision", "error"},
 	"configuration applied":                          {"version", "source", "revision", "era"},
-	"taking configurations of the store":             {"reason", "era", "waited_ms"},
+	"taking configurations of the store":             {"reason", "era", "stated", "waited_ms"},
 	"ignored invalid configuration":                  {"source", "revision", "era", "error"},
 	"ignored store object with invalid content":      {"revision", "error"},
 	"ignored store entry that is not a valid object": {"kind"},
--- a/cmd/arbutus-front/restored_test.go
+++ b/cmd/arbutus-front/restored_test.go
@@ -115,3 +115,28 @@
 	})
 	assert.Equal(t, router.fleetView().EndpointsByID[draining.ID].State, fleet.Draining)
 }
+
+// Guards against the same among many routers, whose calls reach the one that starts before its own
+// are answered.
+func TestRouterThatStartsAfterARestoreAmongManyAsksThem(t *testing.T) {
+	c := newCluster(t)
+	c.eraWait = "2s"
+	c.startEndpoint(appEndpoint("a1"))
+	routers := make([]*testRouter, 0, 12)
+	for range cap(routers) {
+		routers = append(routers, c.startRouter())
+	}
+	copied := c.store.Copy()
+	c.putConfiguration(2, nil)
+	for _, r := range routers {
+		c.eventually("the change is known", func() bool { return r.serves(2) })
+	}
+	c.store.Restore(copied)
+	for range 3 {
+		started := c.startRouter()
+		for range 50 {
+			assert.Assert(t, !started.serves(1), "the router serves a configuration that was replaced")
+		}
+		c.eventually("the router has the configuration of the others", func() bool { return started.serves(2) })
+	}
+}
--- a/modules/directory/configuration.go
+++ b/modules/directory/configuration.go
@@ -37,16 +37,43 @@
 func (d *Directory) updateConfigurationLocked(source string) {
 	e, ok := d.replicas[platform.KindConfiguration].Entry(platform.ConfigurationObjectName)
 	if !ok || e.Removed {
+		d.active.inReplica = false
 		return
 	}
-	if !d.storeTrusted && d.eraSettledLocked() {
+	switch {
+	case d.storeTrusted:
+		d.active.inReplica = d.applyConfigurationLocked(e.Spec, source, e.Revision) && !e.Unconfirmed
+	case d.eraSettledLocked():
 		d.trustStoreLocked("era_settled")
-		return
+	case d.statedVersion > 0 && d.knowsStatedVersionLocked():
+		d.trustStoreLocked("other_router_asked")
 	}
-	if !d.storeTrusted {
-		return
+}
+
+// knowsStatedVersionLocked reports whether this router has, or would take from its replica of the
+// store, a configuration as new as every one that another router has stated. The caller holds mu.
+func (d *Directory) knowsStatedVersionLocked() bool {
+	if d.active.configuration != nil && d.active.configuration.Version >= d.statedVersion {
+		return true
 	}
-	d.active.inReplica = d.applyConfigurationLocked(e.Spec, source, e.Revision)
+	return d.versionInReplicaLocked() >= d.statedVersion
+}
+
+// versionInReplicaLocked returns the version of the configuration that the replica of the store
+// holds, or 0 if it holds no valid one. The caller holds mu.
+func (d *Directory) versionInReplicaLocked() uint64 {
+	r := d.replicas[platform.KindConfiguration]
+	e, ok := r.Entry(platform.ConfigurationObjectName)
+	if !ok || e.Removed {
+		return 0
+	}
+	if at := (fleet.StorePosition{Era: r.Position().Era, Revision: e.Revision}); d.decodedVersion.at != at {
+		d.decodedVersion.at, d.decodedVersion.version = at, 0
+		if c, err := platform.DecodeConfiguration(e.Spec); err == nil { // An invalid one is logged where it is ignored.
+			d.decodedVersion.version = c.Version
+		}
+	}
+	return d.decodedVersion.version
 }
 
 // applyConfigurationLocked makes a configuration the active one if it is valid and newer. It
@@ -86,6 +113,16 @@
 	return false
 }
 
+// othersPatienceLocked returns how long after its start this router asks the others for their
+// configuration. One that knows of a newer configuration than the store's waits until operators
+// must have written it again, should the routers that have it be gone. The caller holds mu.
+func (d *Directory) othersPatienceLocked() time.Duration {
+	if d.statedVersion > 0 && !d.knowsStatedVersionLocked() {
+		return max(d.EraWait.AsDuration(), eraSettleTime)
+	}
+	return d.EraWait.AsDuration()
+}
+
 // trustStoreLocked lets this router take configurations of the store from now on. The caller
 // holds mu.
 func (d *Directory) trustStoreLocked(reason string) {
@@ -93,7 +130,7 @@
 		return
 	}
 	d.storeTrusted = true
-	d.log.WithFields(logrus.Fields{"reason": reason, "era": d.storeEra, "waited_ms": time.Since(d.startedAt).Milliseconds()}).Info("taking configurations of the store")
+	d.log.WithFields(logrus.Fields{"reason": reason, "era": d.storeEra, "stated": d.statedVersion, "waited_ms": time.Since(d.startedAt).Milliseconds()}).Info("taking configurations of the store")
 	d.updateConfigurationLocked("store")
 	d.publishViewLocked()
 }
@@ -106,32 +143,32 @@
 	return d.storeTrusted
 }
 
-// ActiveConfiguration returns the version of the active configuration, or 0 if there is
-// none, and its encoding if the replica of the store does not hold it.
-func (d *Directory) ActiveConfiguration() (version uint64, spec []byte) {
+// ActiveConfiguration returns the version of the active configuration, or 0 if there is none, and
+// its encoding. inReplica is true if the replica of the store holds it.
+func (d *Directory) ActiveConfiguration() (version uint64, spec []byte, inReplica bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.active.configuration == nil {
-		return 0, nil
-	}
-	if !d.active.inReplica {
-		spec = d.active.spec
+		return 0, nil, false
 	}
-	return d.active.configuration.Version, spec
+	return d.active.configuration.Version, d.active.spec, d.active.inReplica
 }
 
-// MergeConfiguration takes what another router has in force: its version, and its encoding
-// if the replicas of the store do not hold it.
+// MergeConfiguration takes what another router has in force: its version, or 0 if it has none,
+// and its encoding if this router may not find it in its replica of the store. A router that
+// starts takes configurations of the store once it knows the newest version stated so far; the
+// version alone says that there is a newer one and not what it holds.
 func (d *Directory) MergeConfiguration(version uint64, spec []byte) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(spec) > 0 {
+	d.statedVersion = max(d.statedVersion, version)
+	if len(spec) > 0 && (d.active.configuration == nil || version > d.active.configuration.Version) {
 		if d.applyConfigurationLocked(spec, sourceRouter, 0) {
 			d.active.inReplica = false
 			d.publishViewLocked()
 		}
 	}
-	if version > 0 {
+	if d.statedVersion > 0 && d.knowsStatedVersionLocked() {
 		d.trustStoreLocked("other_router_asked")
 	}
 }
--- a/modules/directory/confirmation_test.go
+++ b/modules/directory/confirmation_test.go
@@ -72,23 +72,28 @@
 	assert.Assert(t, !known)
 }
 
+func encodeConfiguration(t *testing.T, version int) []byte {
+	spec, err := json.Marshal(standin.SampleConfiguration(version))
+	assert.NilError(t, err)
+	return spec
+}
+
+// listConfiguration applies a list of the store with one configuration.
+func listConfiguration(d *Directory, era uint64, spec []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.applyLocked(platform.KindConfiguration, "list", bootclock.Now(), replica.Delta{
+		At: fleet.StorePosition{Era: era, Revision: 9}, Complete: true,
+		Entries: []replica.Entry{{Name: platform.ConfigurationObjectName, Revision: 9, Spec: spec}},
+	})
+}
+
 // Guards against an invalid configuration that is taken and an older one that undoes the one in
 // force, from another router or from a list of a later era of the store.
 func TestInvalidOrOlderConfigurationReplacesNone(t *testing.T) {
 	d := newDirectory(t)
-	encode := func(version int) []byte {
-		spec, err := json.Marshal(standin.SampleConfiguration(version))
-		assert.NilError(t, err)
-		return spec
-	}
-	list := func(era uint64, spec []byte) {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.applyLocked(platform.KindConfiguration, "list", bootclock.Now(), replica.Delta{
-			At: fleet.StorePosition{Era: era, Revision: 9}, Complete: true,
-			Entries: []replica.Entry{{Name: platform.ConfigurationObjectName, Revision: 9, Spec: spec}},
-		})
-	}
+	encode := func(version int) []byte { return encodeConfiguration(t, version) }
+	list := func(era uint64, spec []byte) { listConfiguration(d, era, spec) }
 	d.MergeConfiguration(7, encode(7))
 	for _, spec := range [][]byte{encode(6), []byte(`{"version": 8, "routes": "none"}`), []byte("\xff")} {
 		d.MergeConfiguration(8, spec)
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -145,7 +145,14 @@
 	restoredAt time.Time
 	// storeTrusted is true once this router takes configurations of the store.
 	storeTrusted bool
-	startedAt    time.Time
+	// statedVersion is the newest configuration that another router has stated to have.
+	statedVersion uint64
+	// decodedVersion is the version of the configuration that the replica holds at a position.
+	decodedVersion struct {
+		at      fleet.StorePosition
+		version uint64
+	}
+	startedAt time.Time
 	// unconfirmedUntil is when the objects that a restored copy of the store lacks are
 	// dropped, by kind.
 	unconfirmedUntil map[string]time.Time
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -242,7 +242,7 @@
 		wait.ForJittered(ctx, retainedCheckInterval)
 		d.mu.Lock()
 		d.dropUnconfirmedLocked(time.Now())
-		if time.Since(d.startedAt) > d.EraWait.AsDuration() {
+		if time.Since(d.startedAt) > d.othersPatienceLocked() {
 			d.trustStoreLocked("timeout")
 		}
 		if departuresExpired := d.expireDeparturesLocked(time.Now()); departuresExpired || len(d.retainedEndpoints) > 0 {
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -335,10 +335,13 @@
 	return chosen
 }
 
-// unaskedLocked returns some of the routers that were not asked yet, for a router that needs to
-// know their configurations. The caller holds mu.
+// unaskedLocked returns some of the routers that were not asked yet, or of all if there are none,
+// for a router that needs to know their configurations. The caller holds mu.
 func (x *Exchange) unaskedLocked(ready []peering.Candidate) []peering.Candidate {
-	unasked := slices.DeleteFunc(ready, func(c peering.Candidate) bool { return x.peers[c.Address].asked })
+	unasked := slices.DeleteFunc(slices.Clone(ready), func(c peering.Candidate) bool { return x.peers[c.Address].asked })
+	if len(unasked) == 0 {
+		unasked = ready
+	}
 	rand.Shuffle(len(unasked), func(i, j int) { unasked[i], unasked[j] = unasked[j], unasked[i] })
 	return unasked[:min(len(unasked), maxAskedAtOnce)]
 }
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -64,9 +64,10 @@
 			Endpoint: l.Endpoint, Version: l.Version, Confirmations: l.Confirmations, RequestsPerSecond: l.Rate,
 		})
 	}
-	version, spec := x.directory.ActiveConfiguration()
+	version, spec, inReplica := x.directory.ActiveConfiguration()
 	out.ConfigurationVersion = version
-	if in != nil && in.GetConfigurationVersion() < version {
+	// A router that starts may know a later era of the store, or not ask for this kind.
+	if starts := in.GetConfigurationVersion() == 0; in != nil && in.GetConfigurationVersion() < version && (starts || !inReplica) {
 		out.Configuration = spec
 	}
 	out.Changes, out.Parts = x.recentUpdates()
