Hold the records of streams at three other routers

Each router's records are now held by three others, chosen by a hash of the addresses, which get them with the calls that they make anyway. They answer take-ups from them, and write them when the router does not respond any more or comes back as another process.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -73,6 +73,7 @@
 	"failed to write software versions":                            {"service", "sequence", "error"},
 	"ignored invalid table of software versions":                   {"service", "error"},
 	"stream not continued because its software version is unknown": {"request", "route", "service", "resumes", "after_event"},
+	"took over records of streams":                                 {"router", "records"},
 	"failed to write records of streams":                           {"error"},
 	"failed to list records of streams":                            {"error"},
 	"ignored invalid records of streams":                           {"router", "error"},
--- a/decision/peering/peering.go
+++ b/decision/peering/peering.go
@@ -3,7 +3,11 @@
 // clock and no network.
 package peering
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // zoneShare is the share of the calls that stay within the availability zone. Routers of
 // a zone send most requests to the same endpoints, so they need each other's newest loads;
@@ -43,6 +47,21 @@
 	return chosen
 }
 
+// IsHolder reports whether a router is one of the few, count or all if there are fewer, that hold
+// what another one would lose if it died. Routers are named by their addresses; others are those
+// that the router reaches. Routers that reach the same others agree.
+func IsHolder(router, owner string, others []string, count int) bool {
+	own, before := holderWeight(router, owner), 0
+	for _, other := range others {
+		if other != owner && other != router && holderWeight(other, owner) > own {
+			before++
+		}
+	}
+	return before < count
+}
+
+func holderWeight(holder, owner string) uint64 { return xxhash.Sum64String(holder + "\x00" + owner) }
+
 // Pulls decides which calls ask for changes of a replica. A copy of a large replica takes
 // a slow router longer than a round: copies asked for by several calls at once would
 // delay each other until all time out. It is not safe for concurrent use.
--- a/decision/peering/peering_test.go
+++ b/decision/peering/peering_test.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"testing"
@@ -113,3 +114,28 @@
 	p.End("config", pullTimeout/2)
 	assert.Assert(t, !p.Begin(2*pullTimeout+1, "config"), "the end of the earlier call must not free the later one")
 }
+
+// Guards against routers whose records nobody holds, or all do.
+func TestFewRoutersHoldWhatOneWouldLose(t *testing.T) {
+	const count = 3
+	for _, routers := range []int{2, 4, 68, 380} {
+		addresses := make([]string, routers)
+		for i := range addresses {
+			addresses[i] = fmt.Sprintf("10.0.%d.%d:80", i/250, i%250)
+		}
+		held := map[string]int{}
+		for i := 0; i < routers; i += 1 + routers/50 {
+			owner, holders := addresses[i], 0
+			for _, router := range addresses {
+				if router != owner && IsHolder(router, owner, addresses, count) {
+					holders++
+					held[router]++
+				}
+			}
+			assert.Equal(t, holders, min(count, routers-1), "%d routers", routers)
+		}
+		for router, owners := range held {
+			assert.Assert(t, owners <= 5*count, "%s holds for %d of %d", router, owners, routers)
+		}
+	}
+}
--- a/decision/versionpin/records.go
+++ b/decision/versionpin/records.go
@@ -17,6 +17,12 @@
 type Records struct {
 	streams map[uint64]record
 	changed bool
+	// incarnation is that of the process to which the records belong.
+	incarnation uint64
+	// added are the streams in the order in which their records came or changed, dropped is the
+	// number of those that were left out at the front since.
+	added   []uint64
+	dropped uint64
 }
 
 type record struct {
@@ -28,6 +34,14 @@
 // NewRecords returns empty records.
 func NewRecords() *Records { return &Records{streams: map[uint64]record{}} }
 
+// NewOwnRecords returns empty records of a process, for Since. Other processes of the same router
+// have other incarnations.
+func NewOwnRecords(incarnation uint64) *Records {
+	r := NewRecords()
+	r.incarnation = incarnation
+	return r
+}
+
 // Add records the version of a stream until a time. A second version for the same stream
 // makes both unknown.
 func (r *Records) Add(stream uint64, version string, expiresAt time.Duration) {
@@ -36,7 +50,20 @@
 		version = ""
 	}
 	r.streams[stream] = record{version, max(expiresAt, old.expiresAt)}
-	r.changed = r.changed || !known || old.version != version
+	if !known || old.version != version {
+		r.changed = true
+		r.added = append(r.added, stream)
+	}
+}
+
+// AddAll adds the records of others as long as there are fewer than most.
+func (r *Records) AddAll(others *Records, most int) {
+	for stream, e := range others.streams {
+		if r.Len() >= most {
+			return
+		}
+		r.Add(stream, e.version, e.expiresAt)
+	}
 }
 
 // Version returns the recorded version of a stream, or false if there is none or streams of
@@ -54,6 +81,13 @@
 			r.changed = true
 		}
 	}
+	for len(r.added) > 0 {
+		if _, ok := r.streams[r.added[0]]; ok {
+			break
+		}
+		r.added = r.added[1:]
+		r.dropped++
+	}
 }
 
 // Len returns the number of records.
@@ -72,9 +106,20 @@
 // MarshalJSON implements json.Marshaler: for each version the hashes of its streams, in
 // base64.
 func (r *Records) MarshalJSON() ([]byte, error) {
+	streams := make([]uint64, 0, len(r.streams))
+	for stream := range r.streams {
+		streams = append(streams, stream)
+	}
+	return r.encode(streams)
+}
+
+// encode encodes the records of those streams that have one.
+func (r *Records) encode(streams []uint64) ([]byte, error) {
 	hashes := map[string][]byte{}
-	for stream, e := range r.streams {
-		hashes[e.version] = binary.BigEndian.AppendUint64(hashes[e.version], stream)
+	for _, stream := range streams {
+		if e, ok := r.streams[stream]; ok {
+			hashes[e.version] = binary.BigEndian.AppendUint64(hashes[e.version], stream)
+		}
 	}
 	return json.Marshal(hashes)
 }
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -81,6 +81,9 @@
 	coverTime = 2 * time.Second
 	// maxLimitsPerMessage is the maximum number of endpoint limits in a message.
 	maxLimitsPerMessage = 256
+	// recordHolders is the number of routers that hold the records of streams of each other one,
+	// so that two can die with it.
+	recordHolders = 3
 	// maxCrashReportsPerMessage is the maximum number of crash reports in a message.
 	maxCrashReportsPerMessage = 64
 )
@@ -409,15 +412,24 @@
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		begin = bootclock.Now()
-		response, err = arbutuspb.NewRouterClient(conn).Exchange(ctx, x.buildState(nil, kinds))
+		state := x.buildState(nil, kinds)
+		if x.holdsRecordsOf(p) {
+			state.StreamRecords = encodeCursor(x.versions.HeldRecords(p.address))
+		}
+		response, err = arbutuspb.NewRouterClient(conn).Exchange(ctx, state)
+	}
+	if x.recordCall(p, err) {
+		x.versions.TakeOverRecords(p.address)
 	}
-	x.recordCall(p, err)
 	if err == nil {
 		x.applyState(response)
 		x.confirmReplicas(begin, response.GetPositions())
 		// Contact stands for knowledge, so that it begins when the state has been taken over.
 		x.directory.ObserveContact()
 		x.versions.ObservePromises(response.GetName(), begin, decodePromises(response.GetTablePromises()))
+		if r := response.GetStreamRecords(); r != nil {
+			x.versions.HoldRecords(p.address, r.GetRecords(), decodeCursor(r))
+		}
 	}
 }
 
@@ -470,8 +482,9 @@
 }
 
 // recordCall records the result of a call to a peer. After failuresBeforeRedial
-// consecutive failures it marks the peer as unreachable and closes the connection.
-func (x *Exchange) recordCall(p *peer, err error) {
+// consecutive failures it marks the peer as unreachable and closes the connection. It reports
+// whether the peer has become unreachable.
+func (x *Exchange) recordCall(p *peer, err error) (lost bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	p.callInProgress, p.asked = false, true
@@ -481,18 +494,19 @@
 			x.log.WithField("address", p.address).Info("router reachable again")
 		}
 		p.consecutiveFailures, p.lastResponseAt, p.unreachable = 0, time.Now(), false
-		return
+		return false
 	}
 	x.calls.WithLabelValues("failed").Inc()
 	p.consecutiveFailures++
 	if p.consecutiveFailures%failuresBeforeRedial != 0 {
-		return
+		return false
 	}
-	if !p.unreachable {
+	if lost = !p.unreachable; lost {
 		x.log.WithError(err).WithField("address", p.address).Warn("router unreachable")
 	}
 	p.unreachable = true
 	p.close()
+	return lost
 }
 
 func (p *peer) close() {
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -73,6 +73,7 @@
 	out.Changes, out.Parts = x.recentUpdates()
 	out.Named = x.recentPublishTimes()
 	if in != nil {
+		out.StreamRecords = x.streamRecords(in)
 		out.Copies = x.replicaDeltas(in.GetPositions())
 		for service, p := range x.versions.Promises() {
 			out.TablePromises = append(out.TablePromises, &arbutuspb.TablePromise{Service: service, Era: p.Era, Sequence: p.Sequence})
--- a/modules/streamversions/records.go
+++ b/modules/streamversions/records.go
@@ -53,6 +53,7 @@
 			v.records.MarkChanged() // The copy may lack what was written.
 		}
 		v.records.Expire(bootclock.Now())
+		v.held.Expire(bootclock.Now())
 		changed := v.records.TakeChanged()
 		v.mu.Unlock()
 		if !changed {
@@ -74,13 +75,16 @@
 }
 
 // waitForFlush waits for a duration, or until the store has come back from a copy since the
-// given era. It returns the store's era, 0 if it is not known yet.
+// given era or records of a router that died are to be written. It returns the store's era, 0 if it is not known yet.
 func (v *StreamVersions) waitForFlush(d time.Duration, era uint64) (now uint64, restored bool) {
 	for end := bootclock.Now() + d; bootclock.Now() < end && v.ctx.Err() == nil; {
 		wait.ForJittered(v.ctx, eraCheckInterval)
 		if now = v.directory.StoreEra(); era > 0 && now != era {
 			return now, true
 		}
+		if v.clearTakenOver() {
+			break
+		}
 	}
 	return now, false
 }
--- a/modules/streamversions/streamversions.go
+++ b/modules/streamversions/streamversions.go
@@ -78,6 +78,10 @@
 	services map[string]*service
 	// records are those of the streams that this router has begun.
 	records *versionpin.Records
+	// held are those of other routers.
+	held *versionpin.Held
+	// takenOver is true if there are records of a router that died to be written.
+	takenOver bool
 	// recordLifetime is the longest lifetime of a stream of any service.
 	recordLifetime time.Duration
 	// recordsLoaded is true once the records of before a restart were taken over. Only the
@@ -115,7 +119,7 @@
 // Provision looks up the modules that StreamVersions uses.
 func (v *StreamVersions) Provision(k *arbutusline.Kernel) error {
 	v.log = k.Log.WithField("module", Name)
-	v.services, v.records, v.listedRecords = map[string]*service{}, versionpin.NewRecords(), versionpin.NewRecords()
+	v.services, v.listedRecords, v.held = map[string]*service{}, versionpin.NewRecords(), versionpin.NewHeld()
 	v.recordLifetime = defaultStreamLifetime + spreadTime
 	v.startedAt = bootclock.Now()
 	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
@@ -125,6 +129,7 @@
 	if v.node, err = arbutusline.Lookup[*node.Node](k, node.Name); err != nil {
 		return err
 	}
+	v.records = versionpin.NewOwnRecords(v.node.Incarnation())
 	if v.directory, err = arbutusline.Lookup[*directory.Directory](k, directory.Name); err != nil {
 		return err
 	}
--- a/modules/streamversions/takeup.go
+++ b/modules/streamversions/takeup.go
@@ -103,16 +103,26 @@
 func (v *StreamVersions) recordedVersion(ctx context.Context, stream uint64) string {
 	v.mu.Lock()
 	version, recorded := v.records.Version(stream)
+	held, isHeld := v.held.Version(stream)
 	v.mu.Unlock()
-	if recorded {
+	switch {
+	case recorded && (!isHeld || held == version):
 		return version
+	case recorded:
+		return "" // Streams of two versions have this ID.
 	}
 	if err := v.recordsRead.do(ctx, &v.goroutines, v.listRecords); err != nil {
 		v.log.WithError(err).Info("failed to list records of streams")
-		return ""
+		return held
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	version, _ = v.listedRecords.Version(stream)
+	version, recorded = v.listedRecords.Version(stream)
+	switch {
+	case !recorded:
+		return held
+	case isHeld && held != version:
+		return "" // Streams of two versions have this ID.
+	}
 	return version
 }
