Let the first streams of a router wait for their software versions

New streams and take-ups now wait for the table up to .3 s, as for a configuration, in the first 3 s of a process.

TestFirstStreamsWaitForTheSoftwareVersions fails without the wait; TestStreamsDoNotWaitLongForTheSoftwareVersions bounds it.

--- a/modules/streamversions/streamversions.go
+++ b/modules/streamversions/streamversions.go
@@ -55,6 +55,13 @@
 	// rankDelay is the time for which routers of lower ranks have the first chance to
 	// write a table.
 	rankDelay = 400 * time.Millisecond
+	// startTime is the time after the start of a router in which a table can be expected: others
+	// write theirs again within .5 s of a restore of the store, and a router that finds no others
+	// begins a new one after 2 s. tableWait is how long a request waits for it meanwhile, as long
+	// as for the first configuration.
+	startTime         = 3 * time.Second
+	tableWait         = 300 * time.Millisecond
+	tablePollInterval = 5 * time.Millisecond
 	// retryDelay is the time after a failed write of a table or of records.
 	retryDelay = 500 * time.Millisecond
 )
@@ -278,9 +285,10 @@
 }
 
 // Begin returns the software versions at which a new stream may begin, in order of
-// preference, and whether Record has to be called with its version. It returns none while
-// no table is known.
-func (v *StreamVersions) Begin(serviceName, requestID string) (versions []string, record bool) {
+// preference, and whether Record has to be called with its version. It returns none if no table
+// is known, for which it waits shortly after the start of this router.
+func (v *StreamVersions) Begin(ctx context.Context, serviceName, requestID string) (versions []string, record bool) {
+	v.awaitTable(ctx, serviceName)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.services[serviceName]
@@ -291,6 +299,23 @@
 	return s.machine.Begin(bootclock.Now(), versionpin.StreamHash(serviceName, requestID))
 }
 
+// awaitTable waits for the first table of a service, which arrives sooner than a refused caller
+// would come back.
+func (v *StreamVersions) awaitTable(ctx context.Context, serviceName string) {
+	ctx, cancel := context.WithTimeout(ctx, tableWait)
+	defer cancel()
+	for ctx.Err() == nil && bootclock.Now()-v.startedAt < startTime && !v.hasTable(serviceName) {
+		wait.For(ctx, tablePollInterval)
+	}
+}
+
+func (v *StreamVersions) hasTable(serviceName string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[serviceName]
+	return s != nil && s.machine.Table() != nil
+}
+
 // propose writes the tables that have to change, if it is this router's turn.
 func (v *StreamVersions) propose() {
 	rank, trusted, restarted := v.directory.WatchRank(), v.directory.StoreTrusted(), v.directory.RanBefore()
--- a/modules/streamversions/takeup.go
+++ b/modules/streamversions/takeup.go
@@ -30,6 +30,7 @@
 // request that began it, as the caller says, or empty. arrivedAt is when the request to take
 // it up arrived. It returns false if the version is not known.
 func (v *StreamVersions) Resume(ctx context.Context, serviceName, requestID string, arrivedAt time.Time) (string, bool) {
+	v.awaitTable(ctx, serviceName)
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	version, result := v.resume(ctx, serviceName, requestID, bootclock.Now()-time.Since(arrivedAt))
