Refuse no stream for overload that its caller takes up

A request that may have run within one response was never refused so; the caller of a stream that is taken up has waited and received as much.

TestStreamsThatAreTakenUpAreNotRefusedForOverload fails without the change.

--- a/modules/relay/execution_test.go
+++ b/modules/relay/execution_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/arbutusline/arbutusline/decision/selection"
+	"github.com/arbutusline/arbutusline/fleet"
 	"github.com/arbutusline/arbutusline/modules/upstream"
 )
 
@@ -65,3 +66,20 @@
 	res := (&attempt{execution: x, requestCtx: t.Context()}).resultOfError(t.Context(), errors.Mark(upstream.ErrAbandoned, upstream.ErrNotSent))
 	assert.Equal(t, res.kind, resultCallerDisconnected)
 }
+
+// Guards against streams that end in the middle because their callers come back at a time of
+// overload: new requests give way, also in favor of one that has run before.
+func TestStreamsThatAreTakenUpAreNotRefusedForOverload(t *testing.T) {
+	prompt := &fleet.Prompt{}
+	for _, c := range []struct {
+		name       string
+		execution  execution
+		controlled bool
+	}{
+		{"new", execution{req: &Request{Prompt: prompt}}, true},
+		{"taken up", execution{req: &Request{Prompt: prompt, LastEventID: "3"}}, false},
+		{"may have run", execution{req: &Request{Prompt: prompt}, mayHaveRunCount: 1}, false},
+	} {
+		assert.Equal(t, c.execution.overloadControlled(), c.controlled, c.name)
+	}
+}
--- a/modules/relay/overload.go
+++ b/modules/relay/overload.go
@@ -21,8 +21,11 @@
 }
 
 // overloadControlled reports whether the request may still be refused. A request that
-// may have run is continued as soon as an endpoint is available.
-func (x *execution) overloadControlled() bool { return x.req.Prompt != nil && x.mayHaveRunCount == 0 }
+// may have run, and a stream that its caller takes up, is continued as soon as an endpoint is
+// available.
+func (x *execution) overloadControlled() bool {
+	return x.req.Prompt != nil && x.mayHaveRunCount == 0 && x.req.LastEventID == ""
+}
 
 func (x *execution) overloadRequest(held time.Duration) overload.Request {
 	return overload.Request{
