Expect a wait at an engine whose slots are all taken

The expected wait now includes the time until a slot is free for this request: the requests at the engine beyond its slots, this one included, times the average time for which requests of the service occupy one, divided by the slots.

--- a/decision/selection/aperture.go
+++ b/decision/selection/aperture.go
@@ -74,5 +74,5 @@
 	for _, i := range d.pool.aperture {
 		d.consider(i)
 	}
-	return d.bestIndex >= 0 && d.bestCost < lastResortCost && d.queueTime(d.pool.candidates[d.bestIndex].state) <= maxApertureWait
+	return d.bestIndex >= 0 && d.bestCost < lastResortCost && d.expectedWait(&d.pool.candidates[d.bestIndex]) <= maxApertureWait
 }
--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -226,6 +226,9 @@
 	st.trialRunning = false
 	switch o {
 	case OutcomeGood:
+		if r.Prompt != nil {
+			s.slotTime(c.Endpoint.Service).observe(now - c.SelectedAt - c.Wait)
+		}
 		st.failureRate *= 1 - newestOutcomeWeight
 		st.consecutiveFailures, st.suspensions = 0, 0
 	case OutcomeRefused:
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -100,6 +100,8 @@
 	// Wait is the expected time until the endpoint begins with the prompt, and Prefill
 	// the expected time to fetch and compute the prompt. Both are 0 for plain requests.
 	Wait, Prefill time.Duration
+	// SelectedAt is the time of the selection.
+	SelectedAt time.Duration
 	// CachedTokens is the expected number of cached prompt tokens.
 	CachedTokens int
 	// FetchFrom is the address of another endpoint or the KV cache store from which
@@ -137,7 +139,9 @@
 	// kvCacheStore is the address of the KV cache store, empty when there is none.
 	kvCacheStore string
 	throttle     *throttle.Table
-	scratch      scratch
+	// slotTimes are the times for which requests occupy a slot, by service.
+	slotTimes map[string]*slotTime
+	scratch   scratch
 }
 
 // scratch is memory of one decision that is reused for the next, to avoid allocations.
@@ -165,7 +169,7 @@
 	prefillPerToken := float64(time.Millisecond) / cfg.PrefillTokensPerMS
 	return &Selector{
 		cfg: cfg, zone: zone, endpoints: map[string]*endpointState{}, partIndex: newPartIndex(cfg.MaxParts), pools: map[poolKey]*pool{},
-		throttle:        throttle.New(),
+		throttle: throttle.New(), slotTimes: map[string]*slotTime{},
 		prefillPerToken: time.Duration(prefillPerToken), recomputePerToken: time.Duration(prefillPerToken * cfg.RecomputeFactor),
 	}
 }
@@ -281,7 +285,7 @@
 // result returns the choice of the best candidate.
 func (d *decision) result() Choice {
 	c := &d.pool.candidates[d.bestIndex]
-	out := Choice{Endpoint: c.endpoint, Cost: d.bestCost}
+	out := Choice{Endpoint: c.endpoint, Cost: d.bestCost, SelectedAt: d.now}
 	if d.request.Prompt == nil {
 		return out
 	}
@@ -291,7 +295,7 @@
 	if c.superseded {
 		out.SupersededFor = d.wall.Sub(c.supersededAt)
 	}
-	out.Wait = d.queueTime(c.state)
+	out.Wait = d.expectedWait(c)
 	out.Prefill = d.prefillTime(d.request.Prompt.Tokens-plan.cachedTokens-plan.fetchedTokens) + d.fetchTime(plan.fetchedTokens)
 	if plan.fetchedTokens > 0 {
 		from, _ := d.fetchPlan.sourceFor(c.weightsVersion, plan.cachedParts)
@@ -309,7 +313,7 @@
 	if !c.superseded || d.request.AllowExpiredWeights || d.request.Prompt == nil {
 		return false
 	}
-	age, wait := d.wall.Sub(c.supersededAt), d.queueTime(c.state)
+	age, wait := d.wall.Sub(c.supersededAt), d.expectedWait(c)
 	if c.weightsVersion < d.pool.newestLoadedVersion && age+wait > d.cfg.OldWeightsLimit+expiredWeightsTolerance {
 		return true
 	}
@@ -393,7 +397,7 @@
 	if d.request.Prompt == nil {
 		return cost + d.cfg.ServiceTime*running/time.Duration(c.endpoint.Slots)
 	}
-	return cost + d.queueTime(st) + d.cfg.RunningRequestCost*running
+	return cost + d.expectedWait(c) + d.cfg.RunningRequestCost*running
 }
 
 // prefillPlan describes how an endpoint gets the shared parts of the prompt; what it
@@ -416,7 +420,7 @@
 	}
 	missingTokens := d.sharedTokens - plan.cachedTokens
 	if c.superseded {
-		wait := d.queueTime(c.state)
+		wait := d.expectedWait(c)
 		plan.cost += d.oldWeightsCost(d.wall.Sub(c.supersededAt), wait, d.request.MovedForWeightsChange)
 	}
 	if missingTokens >= minFetchTokens && len(d.fetchPlan.sourceLists) > 0 {
@@ -467,6 +471,12 @@
 	return s.prefillTime(st.pendingPrefillTokens + st.remotePendingPrefillTokens)
 }
 
+// expectedWait is the time until the candidate begins with another prompt: until it has computed
+// those that wait there and, if all of its slots are taken, one is free.
+func (d *decision) expectedWait(c *candidate) time.Duration {
+	return d.queueTime(c.state) + d.waitForSlot(c.state, c.endpoint)
+}
+
 // fetchTime is the time in which an engine fetches cached tokens.
 func (s *Selector) fetchTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / s.cfg.FetchTokensPerMS * float64(time.Millisecond))
