Soak: excuse refusals after a restore for no longer than the deadline

The judge excused a final refusal by a replaced configuration for 12 s after a restore of the store, which also covers routers that took the copy although others knew better. Operators of the soak write again within .45 s; after that the deadline of 4 s holds as after any change. The planted history "refusal by what a restored store lacked" was excused before and is found now.

--- a/modules/streamversions/records.go
+++ b/modules/streamversions/records.go
@@ -74,8 +74,9 @@
 	return min(maxFlushInterval, max(minFlushInterval, time.Duration(v.directory.RouterCount())*flushIntervalPerRouter))
 }
 
-// waitForFlush waits for a duration, or until the store has come back from a copy since the
-// given era or records of a router that died are to be written. It returns the store's era, 0 if it is not known yet.
+// waitForFlush waits for a duration, or until the store has come back from a copy since the given
+// era or records of a router that died are to be written. It returns the store's era, 0 if it is
+// not known yet.
 func (v *StreamVersions) waitForFlush(d time.Duration, era uint64) (now uint64, restored bool) {
 	for end := bootclock.Now() + d; bootclock.Now() < end && v.ctx.Err() == nil; {
 		wait.ForJittered(v.ctx, eraCheckInterval)
--- a/soak/history.go
+++ b/soak/history.go
@@ -358,17 +358,18 @@
 	// configurationDeadline is how long after its acknowledgement a configuration is in force:
 	// the default of the directory's setting.
 	configurationDeadline = 4 * time.Second
-	// eraSettleTime is how long a router that starts may take the configuration of a restored
-	// store for the newest one.
-	eraSettleTime = 12 * time.Second
+	// rewriteTime is how long after a restore of the store the operators have written again what the
+	// copy lacked. Until then a router that starts, and that no other one tells, cannot know it.
+	rewriteTime = 500 * time.Millisecond
 )
 
 // checkRefusedVersions finds final refusals by a configuration that was replaced longer than the
-// deadline before. No fault excuses one: a router that cannot know leaves it open.
+// deadline before, or written again longer than that before. No other fault excuses one: a router
+// that cannot know leaves it open.
 func (h *History) checkRefusedVersions() []string {
 	var violations []string
 	for _, r := range h.RefusedVersions {
-		restored := slices.ContainsFunc(h.Restores, func(at time.Duration) bool { return at < r.SentAt && r.SentAt < at+eraSettleTime })
+		restored := slices.ContainsFunc(h.Restores, func(at time.Duration) bool { return at < r.SentAt && r.SentAt < at+rewriteTime+configurationDeadline })
 		if r.SentAt-r.AckedAt > configurationDeadline && !restored {
 			violations = append(violations, fmt.Sprintf("router %s refused for good at %s what configuration %d allows since %s", r.Router, r.SentAt, r.Version, r.AckedAt))
 		}
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -84,6 +84,11 @@
 		{"refusal by a replaced configuration", "refused for good at 15s what configuration 4", func(h *History) {
 			h.RefusedVersions = append(h.RefusedVersions, RefusedVersion{"r1", 4, 10 * time.Second, 15 * time.Second})
 		}},
+		{"refusal by what a restored store lacked", "refused for good at 15s what configuration 4", func(h *History) {
+			h.Restores = []time.Duration{10 * time.Second}
+			h.RefusedVersions = append(h.RefusedVersions,
+				RefusedVersion{"r1", 4, 9 * time.Second, 14 * time.Second}, RefusedVersion{"r1", 4, 9 * time.Second, 15 * time.Second})
+		}},
 		{"take-up of another version", "software versions [v1 v2]", func(h *History) { h.Calls[7].SoftwareVersions = []string{"v2"} }},
 		{"two versions in one response", "software versions [v1 v2]", func(h *History) { h.Calls[2].SoftwareVersions = []string{"v1", "v2"} }},
 		{"take-up repeats an event", "not consecutive from 2", func(h *History) { h.Calls[7].EventIDs, h.Calls[7].Complete = []int{1, 2, 3}, false }},
