--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -76,6 +76,7 @@
 	"took over records of streams":                                 {"router", "records"},
 	"failed to write records of streams":                           {"error"},
 	"failed to list records of streams":                            {"error"},
+	"failed to encode records of streams":                          {"error"},
 	"ignored invalid records of streams":                           {"router", "error"},
 
 	// Budgets and requests that crash endpoints.
