Do not end a response by a reset that the writer of its request received

A socket reports a reset or a time-out once. The goroutine that writes the body received it; the one that reads got a plain end of file, which ends a body without a length. A connection now reports its end to the reader only when no write has failed, and waits for a write that is still running; the end of the request's context and TCP_USER_TIMEOUT bound that wait. An early response whose endpoint reads the rest and closes in order is still whole.

--- a/cmd/arbutus-front/unframed_test.go
+++ b/cmd/arbutus-front/unframed_test.go
@@ -25,6 +25,8 @@
 	attempts *atomic.Int32
 	body     string
 	reset    bool
+	// early makes it answer before it reads the body of the request.
+	early bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -39,7 +41,9 @@
 		e.Endpoint.ServeHTTP(w, r)
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body) // A failure shows in the response.
+	if !e.early {
+		_, _ = io.Copy(io.Discard, r.Body) // A failure shows in the response.
+	}
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(err) // Tests serve HTTP/1.1, which supports Hijack.
@@ -62,7 +66,7 @@
 	for _, id := range []string{"u1", "u2"} {
 		e := endpoint(id)
 		e.SetWeightsVersion(1)
-		server := httptest.NewServer(&unframedEndpoint{e, faultsLeft, attempts, body, reset})
+		server := httptest.NewServer(&unframedEndpoint{Endpoint: e, faultsLeft: faultsLeft, attempts: attempts, body: body, reset: reset})
 		t.Cleanup(server.Close)
 		c.endpointServers[id] = server
 		c.registerEndpoint(e, "ready")
@@ -199,3 +203,34 @@
 	assert.Equal(t, len(r.eventIDs()), 10)
 	assert.Equal(t, attempts.Load(), int32(2))
 }
+
+// Guards against delivering a part of a response without a length as the whole one, because its
+// connection was reset while the body of the request was written, buffered and as a stream.
+func TestResetDuringTheUploadIsNotACompleteResponse(t *testing.T) {
+	const uploadBytes, tries = 8 << 20, 10
+	c := newCluster(t)
+	c.putConfiguration(2, func(config map[string]any) {
+		config["limits"].(map[string]any)["max_body_bytes"] = 2 * uploadBytes
+	})
+	faultsLeft, attempts := &atomic.Int32{}, &atomic.Int32{}
+	faultsLeft.Store(1 << 20)
+	for _, e := range []*platform.Endpoint{appEndpoint("u1"), engineEndpoint("u2")} {
+		e.SetWeightsVersion(1)
+		server := httptest.NewServer(&unframedEndpoint{e, faultsLeft, attempts, events(1, 5, "\n"), true, true})
+		t.Cleanup(server.Close)
+		c.endpointServers[e.ID] = server
+		c.registerEndpoint(e, "ready")
+	}
+	r := c.startRouter()
+	c.eventually("the router knows the endpoints", func() bool { return len(r.fleetView().EndpointsByID) == 2 })
+	body := strings.Repeat("x", uploadBytes)
+	for _, route := range []string{"/post/x", "/audit/x"} {
+		sent := attempts.Load()
+		for i := range tries {
+			response := r.send(fmt.Sprintf("r%d", i), http.MethodPost, route, body,
+				"Model", "m", "Token-Count", "1460,200", "Prefix-Hash", fmt.Sprintf("5c1e07a2:800,%x:250", 0xe4402b7d+i))
+			assert.Assert(t, response.err != nil || response.status >= http.StatusInternalServerError, "%s: the response looks complete: %+v", route, response)
+		}
+		assert.Assert(t, attempts.Load() >= sent+tries/2, "%s: %d attempts", route, attempts.Load()-sent)
+	}
+}
--- a/modules/upstream/conn.go
+++ b/modules/upstream/conn.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/arbutusline/arbutusline/decision/bytebudget"
+	"github.com/arbutusline/arbutusline/internal/httpcheck"
 	"github.com/arbutusline/arbutusline/platform"
 )
 
@@ -47,7 +48,7 @@
 type conn struct {
 	client      *Client
 	address     string
-	netConn     net.Conn
+	netConn     *httpcheck.Conn
 	limiter     *headLimiter
 	reader      *bufio.Reader
 	idleSince   time.Time
@@ -65,7 +66,8 @@
 	closeOnce   sync.Once
 }
 
-func newConn(c *Client, address string, nc net.Conn) *conn {
+func newConn(c *Client, address string, inner net.Conn) *conn {
+	nc := httpcheck.NewConn(inner)
 	limiter := &headLimiter{reader: nc}
 	return &conn{
 		client: c, address: address, netConn: nc, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
@@ -164,11 +166,7 @@
 	if cn.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := cn.netConn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := cn.netConn.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -237,9 +235,7 @@
 }
 
 func (cn *conn) writeRequest(head, body []byte) {
-	buffers := net.Buffers{head, body}
-	_, err := buffers.WriteTo(cn.netConn)
-	cn.writeResult <- err
+	cn.writeResult <- cn.netConn.WriteBuffers(&net.Buffers{head, body})
 }
 
 // discardResponse reads and discards a response to another request.
--- a/modules/upstream/unframed_test.go
+++ b/modules/upstream/unframed_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
@@ -61,3 +62,53 @@
 		})
 	}
 }
+
+// uploadBytes is more than the buffers of both sockets hold.
+const uploadBytes = 8 << 20
+
+// Guards against taking a part of a response without a length for the whole one: the endpoint
+// answers early and resets the connection, and the goroutine that writes the body receives the reset.
+func TestResetDuringTheUploadDoesNotEndAResponse(t *testing.T) {
+	body := make([]byte, uploadBytes)
+	for range 40 {
+		address, _ := startEndpoint(t, func(conn net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Stamp: s\r\n\r\nabcd")
+			time.Sleep(20 * time.Millisecond) // A reset that overtakes the head is an error in any case.
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		})
+		response, err := newClient().Do(t.Context(), address, &Request{
+			Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{}, ID: "a", Body: body,
+		})
+		assert.NilError(t, err)
+		text, err := io.ReadAll(response.Body)
+		assert.Assert(t, errors.Is(err, ErrIncompleteResponse), "%q is taken for the whole body: %v", text, err)
+		assert.Assert(t, ConnectionLost(err), "%v", err)
+		assert.NilError(t, response.Body.Close())
+	}
+}
+
+// Guards against losing an early response without a length whose endpoint reads the rest of the
+// request before it closes the connection.
+func TestEarlyResponseThatEndsInOrderIsWhole(t *testing.T) {
+	address, _ := startEndpoint(t, func(conn net.Conn, r *bufio.Reader) {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nabcd")
+		_ = conn.(*net.TCPConn).CloseWrite()
+		time.Sleep(20 * time.Millisecond) // The client reaches the end before the body is read.
+		_, _ = io.Copy(io.Discard, request.Body)
+	})
+	response, err := newClient().Do(t.Context(), address, &Request{
+		Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{}, ID: "a", Body: make([]byte, uploadBytes),
+	})
+	assert.NilError(t, err)
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), "abcd")
+	assert.NilError(t, response.Body.Close())
+}
