Take statuses outside 200 to 599 and interim responses with a body for no response

Callers got a response with status 999, and a response with a status below 200 was taken for an informational one: the request waited until its deadline, and where the body held the text of a 200 with the request's ID, that was delivered as the response.

Cause: http.ReadResponse accepts each number of three digits, and expects no body below 200. A final response now has a status from 200 to 599 and HTTP/1; an informational one is 100 to 199 but 101, which nobody asked for, and announces no body. Anything else is ErrIncompleteResponse: the request may have run, and only routes that may repeat it do.

--- a/cmd/arbutus-front/unframed_test.go
+++ b/cmd/arbutus-front/unframed_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -27,6 +28,8 @@
 	reset    bool
 	// early makes it answer before it reads the body of the request.
 	early bool
+	// status is the status of the response, 200 if it is empty.
+	status string
 }
 
 // ServeHTTP implements http.Handler.
@@ -48,7 +51,7 @@
 	if err != nil {
 		panic(err) // Tests serve HTTP/1.1, which supports Hijack.
 	}
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s.%s\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n\r\n%s", id, e.ID, id, e.body)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s X\r\nRequest-Id: %s\r\nServer-Stamp: %s.%s\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n\r\n%s", cmp.Or(e.status, "200"), id, e.ID, id, e.body)
 	if e.reset {
 		// A reset that overtakes the body would leave the caller without its begin.
 		time.Sleep(20 * time.Millisecond)
@@ -60,13 +63,20 @@
 // unframedCluster is a cluster with one router and two endpoints, of which the first one
 // to get a request answers without a length.
 func unframedCluster(t *testing.T, endpoint func(string) *platform.Endpoint, body string, reset bool) (*testRouter, *atomic.Int32) {
+	return unframedClusterOf(t, endpoint, unframedEndpoint{body: body, reset: reset})
+}
+
+// unframedClusterOf is unframedCluster for endpoints that answer as the given one.
+func unframedClusterOf(t *testing.T, endpoint func(string) *platform.Endpoint, kind unframedEndpoint) (*testRouter, *atomic.Int32) {
 	c := newCluster(t)
 	faultsLeft, attempts := &atomic.Int32{}, &atomic.Int32{}
 	faultsLeft.Store(1)
 	for _, id := range []string{"u1", "u2"} {
 		e := endpoint(id)
 		e.SetWeightsVersion(1)
-		server := httptest.NewServer(&unframedEndpoint{Endpoint: e, faultsLeft: faultsLeft, attempts: attempts, body: body, reset: reset})
+		kind.Endpoint, kind.faultsLeft, kind.attempts = e, faultsLeft, attempts
+		u := kind
+		server := httptest.NewServer(&u)
 		t.Cleanup(server.Close)
 		c.endpointServers[id] = server
 		c.registerEndpoint(e, "ready")
@@ -216,7 +226,9 @@
 	faultsLeft.Store(1 << 20)
 	for _, e := range []*platform.Endpoint{appEndpoint("u1"), engineEndpoint("u2")} {
 		e.SetWeightsVersion(1)
-		server := httptest.NewServer(&unframedEndpoint{e, faultsLeft, attempts, events(1, 5, "\n"), true, true})
+		server := httptest.NewServer(&unframedEndpoint{
+			Endpoint: e, faultsLeft: faultsLeft, attempts: attempts, body: events(1, 5, "\n"), reset: true, early: true,
+		})
 		t.Cleanup(server.Close)
 		c.endpointServers[e.ID] = server
 		c.registerEndpoint(e, "ready")
@@ -234,3 +246,23 @@
 		assert.Assert(t, attempts.Load() >= sent+tries/2, "%s: %d attempts", route, attempts.Load()-sent)
 	}
 }
+
+// Guards against statuses that are no response and reach callers as one, buffered and as a stream.
+func TestImpossibleStatusIsNotForwarded(t *testing.T) {
+	for _, status := range []string{"000", "101", "999"} {
+		for route, endpoint := range map[string]func(string) *platform.Endpoint{"/look/x": appEndpoint, "/post/x": appEndpoint, "/audit/x": engineEndpoint, "/ask/x": engineEndpoint} {
+			t.Run(status+" "+route, func(t *testing.T) {
+				r, attempts := unframedClusterOf(t, endpoint, unframedEndpoint{status: status, body: events(1, 10, "\n")})
+				response := r.sendTo("r1", route)
+				assert.NilError(t, response.err)
+				if route == "/look/x" || route == "/ask/x" {
+					assert.Equal(t, response.status, http.StatusOK)
+					assert.Equal(t, attempts.Load(), int32(2))
+					return
+				}
+				assert.Equal(t, response.status, http.StatusBadGateway)
+				assert.Equal(t, attempts.Load(), int32(1))
+			})
+		}
+	}
+}
--- a/modules/upstream/conn.go
+++ b/modules/upstream/conn.go
@@ -199,13 +199,9 @@
 	}
 	lease := cn.newLease()
 	for range maxMismatchedResponses {
-		response, err := cn.readHead(r.Method, lease)
-		if err == nil && response.StatusCode >= http.StatusOK {
-			if response.Header.Get(platform.HeaderRequestID) == r.ID {
-				return cn.newResponse(response, lease), nil
-			}
-			cn.recordSkipped(r, response)
-			err = discardResponse(response)
+		response, err := cn.readNext(r, lease)
+		if response != nil {
+			return response, nil
 		}
 		lease.Release()
 		if err != nil {
@@ -216,6 +212,26 @@
 	return nil, errors.New("received only responses to other requests")
 }
 
+// readNext reads the next response. It returns nil for an informational response and for one to
+// another request, which it discards.
+func (cn *conn) readNext(r *Request, lease *bytebudget.Lease) (*Response, error) {
+	response, err := cn.readHead(r.Method, lease)
+	switch {
+	case err != nil:
+		return nil, err
+	case httpcheck.IsInterim(response.StatusCode):
+		return nil, httpcheck.CheckInterim(response.StatusCode, response.Header)
+	}
+	if err := httpcheck.CheckFinal(response); err != nil {
+		return nil, err
+	}
+	if response.Header.Get(platform.HeaderRequestID) == r.ID {
+		return cn.newResponse(response, lease), nil
+	}
+	cn.recordSkipped(r, response)
+	return nil, discardResponse(response)
+}
+
 // recordSkipped counts and logs a response to another request than the one that was sent last.
 func (cn *conn) recordSkipped(r *Request, response *http.Response) {
 	id := response.Header.Get(platform.HeaderRequestID)
