Agents: do not end an answer by a reset that the writer of the request received

Its connections now tell an orderly end from one after a failed write, as those of the router do.

Before: TestResetDuringTheUploadDoesNotEndAnAnswer failed at one of its first tries with a body of 8 MB; now 40 of 40 pass. Completions need an end marker besides: the test of those passed before, too.

--- a/modules/engine/engine.go
+++ b/modules/engine/engine.go
@@ -21,6 +21,7 @@
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/decision/bytebudget"
 	"github.com/arbutusline/arbutusline/internal/content"
+	"github.com/arbutusline/arbutusline/internal/httpcheck"
 	"github.com/arbutusline/arbutusline/modules/memory"
 	"github.com/arbutusline/arbutusline/settings"
 )
@@ -137,16 +138,15 @@
 // createClients creates the HTTP clients, whose responses share the memory.
 func (e *Engine) createClients(memory *bytebudget.Pool) {
 	e.memory = memory
-	dialer := &net.Dialer{Timeout: connectTimeout}
+	dial := httpcheck.Dialer(&net.Dialer{Timeout: connectTimeout})
 	e.client = &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute,
-		MaxResponseHeaderBytes: maxHeadBytes,
+		DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 	// The response to an earlier request can come once more on a connection, without anything that
 	// tells it from the next one. The HTTP client also repeats a request with an Idempotency-Key
 	// header by itself if a reused connection breaks.
 	e.requestClient = &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
+		DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
--- /dev/null
+++ b/modules/engine/whole_test.go
@@ -0,0 +1,68 @@
+package engine
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+// startRaw returns the engine of an endpoint that passes each request, whose body it has not read, to
+// serve with its connection.
+func startRaw(t *testing.T, serve func(*net.TCPConn, *http.Request)) *Engine {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return // The test is over.
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					serve(conn.(*net.TCPConn), r)
+				}
+			}()
+		}
+	}()
+	e := &Engine{URL: "http://" + listener.Addr().String()}
+	e.createClients(nil)
+	return e
+}
+
+// Guards against an agent that takes a part of an answer without a length for the whole one: the
+// service answers early and resets the connection while the request is written.
+func TestResetDuringTheUploadDoesNotEndAnAnswer(t *testing.T) {
+	e := startRaw(t, func(conn *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nabcd")
+		time.Sleep(20 * time.Millisecond) // A reset that overtakes the head is an error in any case.
+		_ = conn.SetLinger(0)
+	})
+	body := make([]byte, 8<<20)
+	for range 40 {
+		answer, err := e.CallService(t.Context(), ServiceCall{Method: http.MethodPost, Path: "/x", Body: body})
+		assert.Assert(t, errors.Is(err, ErrConnectionBroken), "%+v %v", answer, err)
+	}
+}
+
+// Guards against a completion that counts as complete although the connection was reset before the
+// end marker, while the request is written.
+func TestResetDuringTheUploadDoesNotEndACompletion(t *testing.T) {
+	e := startRaw(t, func(conn *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\ndata: {\"index\":0,\"text\":\"a\"}\n\ndata: {\"done\":true}\n\n")
+		time.Sleep(20 * time.Millisecond)
+		_ = conn.SetLinger(0)
+	})
+	prompt := string(make([]byte, 1<<20))
+	for range 10 {
+		_, err := e.Complete(t.Context(), CompletionRequest{Prompt: prompt}, func(int, string) error { return nil })
+		assert.Assert(t, errors.Is(err, ErrConnectionBroken), "%v", err)
+	}
+}
