--- a/modules/engine/whole_test.go
+++ b/modules/engine/whole_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -66,3 +67,28 @@
 		assert.Assert(t, errors.Is(err, ErrConnectionBroken), "%v", err)
 	}
 }
+
+// Guards against an agent that passes on a status that is no response, or takes it for a rejection,
+// after which the request is sent to another endpoint.
+func TestImpossibleStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		e := startRaw(t, func(conn *net.TCPConn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s X\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", status, headerNotRun)
+		})
+		answer, err := e.CallService(t.Context(), ServiceCall{Method: http.MethodPost, Path: "/x"})
+		assert.Assert(t, errors.Is(err, ErrConnectionBroken), "%s: %+v %v", status, answer, err)
+		_, err = e.Complete(t.Context(), CompletionRequest{}, func(int, string) error { return nil })
+		assert.Assert(t, errors.Is(err, ErrConnectionBroken) && !errors.Is(err, ErrRejected), "%s: %v", status, err)
+	}
+}
+
+// Guards against reading the body of an informational response as the answer.
+func TestBodyOfAnInformationalResponseIsNoAnswer(t *testing.T) {
+	e := startRaw(t, func(conn *net.TCPConn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\nContent-Length: 40\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+	})
+	answer, err := e.CallService(t.Context(), ServiceCall{Method: http.MethodPost, Path: "/x"})
+	assert.Assert(t, errors.Is(err, ErrConnectionBroken), "%+v %v", answer, err)
+}
