Agents: follow no redirect of an endpoint

An agent followed redirects of the endpoint beside it, up to ten: after 307 or 308 it sent the request again, with its body, to be run a second time; after 301 to 303 the caller got the response to another request. So with orders to the engine, where a status that is no response counted as accepted, too.

The clients now return the redirect as the answer, take no status outside 200 to 599, and an order whose status is a redirect counts as unknown, not as rejected.

--- a/internal/httpcheck/status.go
+++ b/internal/httpcheck/status.go
@@ -39,6 +39,15 @@
 	return nil
 }
 
+// NewClient returns a client with the checks of Transport that follows no redirect: that would send
+// the request a second time, and return the response to another one.
+func NewClient(base *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     &Transport{Base: base},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // Transport is an http.RoundTripper that fails with ErrNoResponse for what CheckFinal and
 // CheckInterim refuse.
 type Transport struct{ Base http.RoundTripper }
--- a/modules/engine/engine.go
+++ b/modules/engine/engine.go
@@ -139,15 +139,15 @@
 func (e *Engine) createClients(memory *bytebudget.Pool) {
 	e.memory = memory
 	dial := httpcheck.Dialer(&net.Dialer{Timeout: connectTimeout})
-	e.client = &http.Client{Transport: &httpcheck.Transport{Base: &http.Transport{
+	e.client = httpcheck.NewClient(&http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes,
-	}}}
+	})
 	// The response to an earlier request can come once more on a connection, without anything that
 	// tells it from the next one. The HTTP client also repeats a request with an Idempotency-Key
 	// header by itself if a reused connection breaks.
-	e.requestClient = &http.Client{Transport: &httpcheck.Transport{Base: &http.Transport{
+	e.requestClient = httpcheck.NewClient(&http.Transport{
 		DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
-	}}}
+	})
 }
 
 // Validate checks the settings.
--- a/modules/orders/agent.go
+++ b/modules/orders/agent.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 
 	pb "github.com/arbutusline/arbutusline/api/arbutuspb"
 	"github.com/arbutusline/arbutusline/decision/rollout"
+	"github.com/arbutusline/arbutusline/internal/httpcheck"
 	"github.com/arbutusline/arbutusline/objectstore"
 )
 
@@ -61,7 +63,7 @@
 // the response to an earlier call can come once more on a connection, without anything that tells it
 // from the next one.
 func newEngineClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return httpcheck.NewClient(&http.Transport{DialContext: httpcheck.Dialer(&net.Dialer{}), DisableKeepAlives: true})
 }
 
 // Give implements the Orders service.
@@ -163,9 +165,9 @@
 	switch {
 	case errorResponse.Error.Code == "outdated_fencing":
 		return pb.OrderResult_ORDER_RESULT_STALE, errorResponse.Error.Message
-	case errorResponse.Error.Code == "loading", status >= http.StatusInternalServerError:
+	case errorResponse.Error.Code == "loading", status >= http.StatusInternalServerError, status < http.StatusBadRequest:
 		// The engine still executes an earlier order, which ends before the router
-		// repeats this one.
+		// repeats this one, or the status does not tell what became of the order.
 		return pb.OrderResult_ORDER_RESULT_UNKNOWN, errorResponse.Error.Message
 	}
 	return pb.OrderResult_ORDER_RESULT_REJECTED, errorResponse.Error.Message
