Object API client: take no part of an answer for a value

An answer without a length is now undefined: its end shows nothing, and values have no form of their own that would. The client shares the checks of internal/httpcheck.

TestWriteWithoutAReaderIsAmbiguous reaches the transport through the new wrapper; what it checks is unchanged.

--- a/modules/objectstore/call.go
+++ b/modules/objectstore/call.go
@@ -99,6 +99,9 @@
 		return resp, sent, errors.Wrapf(err, "%s", c.operation)
 	}
 	defer httpResp.Body.Close()
+	if httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 {
+		return resp, true, errors.Wrapf(ErrUnexpectedResponse, "%s: answer has no length, so that its end does not show that it is whole", c.operation)
+	}
 	resp.status = httpResp.StatusCode
 	resp.version, err = strconv.ParseUint(httpResp.Header.Get("Object-Version"), 10, 64)
 	resp.hasVersion = err == nil
--- a/modules/objectstore/client_test.go
+++ b/modules/objectstore/client_test.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
 
+	"github.com/arbutusline/arbutusline/internal/httpcheck"
 	"github.com/arbutusline/arbutusline/objectstore"
 	"github.com/arbutusline/arbutusline/settings"
 	"github.com/arbutusline/arbutusline/standin/objectapi"
@@ -189,7 +190,7 @@
 	client.CallTimeout = settings.Duration(time.Minute)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	client.httpClient.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+	client.httpClient.Transport.(*httpcheck.Transport).Base.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		return &observedConn{conn, cancel}, err
 	}
--- a/modules/objectstore/module.go
+++ b/modules/objectstore/module.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/internal/httpcheck"
 	"github.com/arbutusline/arbutusline/objectstore"
 	"github.com/arbutusline/arbutusline/settings"
 )
@@ -96,17 +97,12 @@
 		}
 		client.baseURLs = append(client.baseURLs, base)
 	}
-	dialer := &net.Dialer{Timeout: client.ConnectTimeout.AsDuration()}
-	client.httpClient = &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxConnsPerHost:     client.MaxConnections,
-			MaxIdleConnsPerHost: client.MaxConnections,
-			IdleConnTimeout:     time.Minute,
-		},
-		// Following a redirect would send a write a second time.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	client.httpClient = httpcheck.NewClient(&http.Transport{
+		DialContext:         httpcheck.Dialer(&net.Dialer{Timeout: client.ConnectTimeout.AsDuration()}),
+		MaxConnsPerHost:     client.MaxConnections,
+		MaxIdleConnsPerHost: client.MaxConnections,
+		IdleConnTimeout:     time.Minute,
+	})
 	return nil
 }
 
