Keep HEAD requests on connections of their own, and take no response with two IDs

Beside a HEAD request its length tells nothing of the bytes that follow, so that the body of the copy was read as the next response. - A response that bears the ID of the request and another one was taken, also as 'not run'.

Before: TestConnectionCarriesNothingBesideAHeadRequest (a part of another response was delivered) and TestResponseWithTwoIDsIsNotTaken failed; now they pass.

--- a/modules/upstream/conn.go
+++ b/modules/upstream/conn.go
@@ -116,7 +116,13 @@
 // mayCarry reports whether a response on the connection can only be the response to the request, or
 // bears another ID. After a request with the same ID an endpoint may send the response to that one
 // once more. For a call by GET without an ID that is an older reading of what it asks for.
+//
+// Responses to HEAD requests have no body, whatever length they state. A connection carries nothing
+// but one such request: the responses to other ones could not be told from their bodies.
 func (cn *conn) mayCarry(r *Request) bool {
+	if r.Method == http.MethodHead {
+		return len(cn.carried) == 0
+	}
 	if r.ID == "" && r.Method == http.MethodGet {
 		return true
 	}
@@ -225,13 +231,22 @@
 	if err := httpcheck.CheckFinal(response); err != nil {
 		return nil, err
 	}
-	if response.Header.Get(platform.HeaderRequestID) == r.ID {
+	if r.isAnsweredBy(response) {
 		return cn.newResponse(response, lease), nil
 	}
 	cn.recordSkipped(r, response)
 	return nil, discardResponse(response)
 }
 
+// isAnsweredBy reports whether a response bears the ID of the request and no other one.
+func (r *Request) isAnsweredBy(response *http.Response) bool {
+	ids := response.Header.Values(platform.HeaderRequestID)
+	if r.ID == "" {
+		return len(ids) == 0
+	}
+	return len(ids) == 1 && ids[0] == r.ID
+}
+
 // recordSkipped counts and logs a response to another request than the one that was sent last.
 func (cn *conn) recordSkipped(r *Request, response *http.Response) {
 	id := response.Header.Get(platform.HeaderRequestID)
@@ -272,7 +287,8 @@
 		cn.maxIdleTime = max(0, d-idleTimeoutMargin)
 	}
 	hasLength := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-	body := &responseBody{conn: cn, inner: r.Body, reusable: hasLength && !r.Close, lease: lease}
+	reusable := hasLength && !r.Close && r.Request.Method != http.MethodHead
+	body := &responseBody{conn: cn, inner: r.Body, reusable: reusable, lease: lease}
 	return &Response{
 		Status: r.StatusCode, Header: r.Header, SelfDelimited: hasLength, Body: body, Memory: lease, body: body, length: r.ContentLength,
 	}
--- a/modules/upstream/repeated_test.go
+++ b/modules/upstream/repeated_test.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 
@@ -91,3 +93,43 @@
 		})
 	}
 }
+
+// Guards against reading the body of a late response as the next response: after a HEAD request, and
+// before one, the length that a response states says nothing of the bytes that follow.
+func TestConnectionCarriesNothingBesideAHeadRequest(t *testing.T) {
+	const inner = "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nServer-Stamp: s\r\nContent-Length: 0\r\n\r\n"
+	late := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: %d\r\n\r\n", len(inner))
+	for _, methods := range [][2]string{{http.MethodGet, http.MethodHead}, {http.MethodHead, http.MethodGet}} {
+		t.Run(methods[0]+" "+methods[1], func(t *testing.T) {
+			address, connections := startEndpoint(t, func(conn net.Conn, r *bufio.Reader) {
+				for text := ""; ; text = late + inner {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = fmt.Fprintf(conn, "%sHTTP/1.1 404 X\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", text, request.Header.Get("Request-Id"))
+				}
+			})
+			client := newClient()
+			_, err := send(client, address, methods[0], "a", 0)
+			assert.NilError(t, err)
+			status, err := send(client, address, methods[1], "b", 0)
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusNotFound, "a part of another response was taken")
+			assert.Equal(t, connections.Load(), int32(2))
+		})
+	}
+}
+
+// Guards against a response with two IDs, which is not known to belong to the request.
+func TestResponseWithTwoIDsIsNotTaken(t *testing.T) {
+	for _, ids := range []string{"Request-Id: a\r\nRequest-Id: b\r\n", "Request-Id: b\r\nRequest-Id: a\r\n", "Request-Id: a\r\nRequest-Id: a\r\n"} {
+		address, _ := startEndpoint(t, func(conn net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\n"+ids+"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			}
+		})
+		status, err := send(newClient(), address, http.MethodPost, "a", 0)
+		assert.Assert(t, errors.Is(err, ErrIncompleteResponse), "%d %v", status, err)
+	}
+}
