Take a success that states 'not run' for no refusal

A request that may run once was sent to a second endpoint, and ran there, too, after the first had run it and answered 200 with Not-Executed: the header alone counted as proof. Nothing proves either of two statements that contradict each other. The header now counts beside a status of 400 and more; with any other status the request may have run: 502, and no second endpoint unless the route may repeat it.

Before: TestSuccessThatStatesNotRunIsNoRefusal counted two runs on /post. Now one, and 502.

--- a/cmd/arbutus-front/refusals_test.go
+++ b/cmd/arbutus-front/refusals_test.go
@@ -113,3 +113,26 @@
 		assert.Assert(t, executions == 0 || !isRefusal(r), "%d after %d runs", r.status, executions)
 	}
 }
+
+// Guards against a second run after a success that also states that the request did not run.
+func TestSuccessThatStatesNotRunIsNoRefusal(t *testing.T) {
+	c := newCluster(t)
+	endpoints := []*platform.Endpoint{
+		c.startEndpoint(appEndpoint("a1")), c.startEndpoint(appEndpoint("a2")),
+		c.startEndpoint(engineEndpoint("e1")), c.startEndpoint(engineEndpoint("e2")),
+	}
+	for _, e := range endpoints {
+		e.SetResponseHeader("Not-Executed", "1")
+	}
+	router := c.startRouter()
+	for _, path := range []string{"/post/x", "/audit/x"} {
+		r := router.sendTo(path, path)
+		executions := 0
+		for _, e := range endpoints {
+			executions += e.ExecutionCount(path)
+		}
+		assert.NilError(t, r.err)
+		assert.Equal(t, executions, 1, path)
+		assert.Equal(t, r.status, http.StatusBadGateway, path)
+	}
+}
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -91,8 +91,9 @@
 		response.Discard()
 		return result{kind: resultRefused, status: response.Status, header: response.Header, wrongEndpoint: a.refusedByOtherEndpoint(response)}
 	}
-	if response.Header.Get(platform.HeaderSignature) == "" || response.Header.Get("Content-Encoding") != "" {
-		return result{kind: resultIncompleteResponse, status: response.Status, err: errors.New("response has no endpoint signature or has a content encoding")}
+	if response.Header.Get(platform.HeaderSignature) == "" || response.Header.Get("Content-Encoding") != "" || response.Header.Get(platform.HeaderNotExecuted) != "" {
+		err := errors.New("response has no endpoint signature, has a content encoding, or contradicts itself on whether the request ran")
+		return result{kind: resultIncompleteResponse, status: response.Status, err: err}
 	}
 	if a.headerSent && !a.continuesStream(response) {
 		err := errors.Newf("response to a resumed request is no part of the stream: status %d, content type %q", response.Status, response.Header.Get("Content-Type"))
@@ -190,9 +191,10 @@
 
 // statesNotRun reports whether a response states that the endpoint did not run the request. Its
 // status alone does not: a faulty endpoint may run a request and answer 421, 429 or 503.
+// Nor does the header beside a success or a redirect, which contradicts it.
 func (a *attempt) statesNotRun(response *upstream.Response) bool {
 	if response.Header.Get(platform.HeaderNotExecuted) != "" {
-		return true
+		return response.Status >= http.StatusBadRequest
 	}
 	return a.refusedByOtherEndpoint(response) && response.Header.Get(platform.HeaderSignature) == ""
 }
