Learn no weights version from the refusal of another endpoint

An endpoint that took over the address of a predecessor refuses what is meant for that one. The weights version that it states counted as the version of the predecessor. Before: TestRefusalOfAnotherEndpointTellsNoWeightsVersion saw version 99 at the predecessor.

--- a/cmd/arbutus-front/refusals_test.go
+++ b/cmd/arbutus-front/refusals_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -136,3 +137,20 @@
 		assert.Equal(t, r.status, http.StatusBadGateway, path)
 	}
 }
+
+// Guards against a weights version of another endpoint at the address that counts as the one of the
+// endpoint for which the request was meant.
+func TestRefusalOfAnotherEndpointTellsNoWeightsVersion(t *testing.T) {
+	c := newCluster(t)
+	e := c.startEndpoint(engineEndpoint("e1"))
+	e.SetResponseHeader("Weight-Versions", "99")
+	gone := engineEndpoint("gone")
+	gone.SetWeightsVersion(1)
+	c.store.Put("servers", gone.ID, gone.StoreEntry(strings.TrimPrefix(c.endpointServers[e.ID].URL, "http://"), "a", "ready"))
+	c.store.Put("servers", e.ID, e.StoreEntry(strings.TrimPrefix(c.endpointServers[e.ID].URL, "http://"), "b", "ready"))
+	router := c.startRouter()
+	c.eventually("the router knows both entries", func() bool { return len(router.fleetView().EndpointsByID) == 2 })
+	assert.NilError(t, router.sendPrompt("r1", "/audit/x").err)
+	assert.Assert(t, c.logs.wasLogged("attempt failed"), "the request was not sent to the predecessor")
+	assert.Equal(t, router.fleetView().EndpointsByID[gone.ID].WeightsVersions["m"], uint64(1))
+}
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -176,7 +176,7 @@
 // engine refuses the request because of its weights version, it fetches the version
 // from the engine's status.
 func (a *attempt) observeWeightsVersion(response *upstream.Response) {
-	if a.req.Prompt == nil {
+	if a.req.Prompt == nil || a.refusedByOtherEndpoint(response) {
 		return
 	}
 	endpoint, model := a.choice.Endpoint, a.req.Prompt.Model
@@ -184,7 +184,7 @@
 		a.relay.directory.ObserveWeightsVersion(endpoint.ID, model, version)
 		return
 	}
-	if response.Status == http.StatusMisdirectedRequest && !a.refusedByOtherEndpoint(response) {
+	if response.Status == http.StatusMisdirectedRequest {
 		a.relay.refreshWeightsVersion(endpoint, model)
 	}
 }
