Soak: connections that go silent for good while new ones work

The proxies acknowledge what they drop, so that neither keep-alive probes nor TCP_USER_TIMEOUT see the silence: only the routers' own deadlines do.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,7 +39,13 @@
 
 	mu    sync.Mutex
 	mode  ProxyMode
-	conns map[net.Conn]bool
+	conns map[net.Conn]*link
+}
+
+// link is a connection through a proxy, of which the proxy has two ends.
+type link struct {
+	// silent drops all bytes, and the end of either side, for good.
+	silent atomic.Bool
 }
 
 // NewProxy listens on address and forwards connections to target.
@@ -47,7 +54,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "start proxy")
 	}
-	p := &Proxy{target: target, listener: listener, conns: map[net.Conn]bool{}}
+	p := &Proxy{target: target, listener: listener, conns: map[net.Conn]*link{}}
 	go p.acceptConnections()
 	return p, nil
 }
@@ -69,6 +76,15 @@
 	}
 }
 
+// SilenceOpen makes the open connections silent for good. New ones work.
+func (p *Proxy) SilenceOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.conns {
+		l.silent.Store(true)
+	}
+}
+
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close() // The listener is not used again.
@@ -109,25 +125,26 @@
 		resetConnection(client)
 		return
 	}
-	p.setTracked(client, upstream, true)
-	defer p.setTracked(client, upstream, false)
+	l := &link{}
+	p.setTracked(client, upstream, l)
+	defer p.setTracked(client, upstream, nil)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		p.forward(upstream, client, DropRequests)
+		p.forward(upstream, client, DropRequests, l)
 	}()
-	p.forward(client, upstream, DropResponses)
+	p.forward(client, upstream, DropResponses, l)
 	<-done
 }
 
-// setTracked adds two connections to those that SetMode resets, or removes and closes
-// them.
-func (p *Proxy) setTracked(a, b net.Conn, tracked bool) {
+// setTracked adds the two ends of a link to the connections that SetMode resets. With no link it
+// removes and closes them.
+func (p *Proxy) setTracked(a, b net.Conn, l *link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range []net.Conn{a, b} {
-		if tracked {
-			p.conns[c] = true
+		if l != nil {
+			p.conns[c] = l
 			continue
 		}
 		delete(p.conns, c)
@@ -136,11 +153,17 @@
 }
 
 // forward copies bytes until either connection ends. It drops them in dropMode and
-// DropAll.
-func (p *Proxy) forward(destination, source net.Conn, dropMode ProxyMode) {
+// DropAll, and while the link is silent.
+func (p *Proxy) forward(destination, source net.Conn, dropMode ProxyMode, l *link) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := source.Read(buffer)
+		if l.silent.Load() {
+			if err != nil {
+				return // The other side learns nothing of it.
+			}
+			continue
+		}
 		switch p.currentMode() {
 		case dropMode, DropAll:
 			n = 0
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -59,6 +59,12 @@
 		assert.NilError(t, c.SetDeadline(time.Now().Add(time.Minute)))
 		assert.Assert(t, roundTrip(c) != nil, "mode %d: a connection with dropped bytes still works", m)
 	}
+	silent := dial()
+	assert.NilError(t, roundTrip(silent))
+	p.SilenceOpen()
+	assert.NilError(t, silent.SetDeadline(time.Now().Add(50*time.Millisecond)))
+	_, timeout := roundTrip(silent).(net.Error)
+	assert.Assert(t, timeout, "a silent connection still works")
 	last := dial()
 	assert.NilError(t, roundTrip(last))
 	p.SetMode(Reset)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,9 @@
 	meanFaultInterval = 350 * time.Millisecond
 	// invalidConfigurationPeriod is how long an invalid configuration stays the newest one.
 	invalidConfigurationPeriod = 2 * time.Second
+	// silentConnectionsTime is how long connections that went silent may disturb calls: a call
+	// waits for its deadline at most, and a connection is given up after some failed calls.
+	silentConnectionsTime = callDeadline
 	// defaultWatchers is more than there are routers: all watch the store.
 	defaultWatchers = 6
 	// undisturbedPeriod is how long callers run before the first fault, and again
@@ -229,6 +232,15 @@
 			e.restartWithEntry(duration/4, 2*duration)
 		}
 	},
+	// Open connections go silent for good while new ones work.
+	func(d *deployment, target int, _ time.Duration) {
+		d.recordFault("open connections silent", "", false, silentConnectionsTime)
+		for i, p := range d.proxies() {
+			if (target+i)%10 < 7 {
+				p.SilenceOpen()
+			}
+		}
+	},
 	// A router alone loses the store while an engine is replaced by one of another software
 	// version and streams break.
 	func(d *deployment, target int, duration time.Duration) {
@@ -277,6 +289,18 @@
 	},
 }
 
+// proxies returns the proxies of all connections of routers.
+func (d *deployment) proxies() []*Proxy {
+	var all []*Proxy
+	for _, r := range d.routers {
+		all = append(all, r.storeProxy, r.peerProxy)
+	}
+	for _, e := range append(append([]*endpoint(nil), d.serviceEndpoints...), d.engineEndpoints...) {
+		all = append(all, e.proxy)
+	}
+	return all
+}
+
 func (d *deployment) routerAt(index int) *router { return d.routers[index%len(d.routers)] }
 
 func (d *deployment) endpointAt(index int) *endpoint {
