Refuse nothing for good in an era of the store that has not settled

A router that ran through the restore confirms nothing for 10 s. One that starts now does the same, unless the era has settled, or it is the first one, which holds no copy. Until then it answers 503.

Before: TestRouterThatStartsInAnUnsettledEraConfirmsNothing saw a confirmed configuration at once.

--- a/modules/directory/configuration.go
+++ b/modules/directory/configuration.go
@@ -19,6 +19,9 @@
 // copy of the store lacked. They do so as soon as the store answers.
 const eraSettleTime = 10 * time.Second
 
+// firstEra is the era of a store that never came back from a copy.
+const firstEra = 0
+
 // activeConfiguration is the configuration in force.
 type activeConfiguration struct {
 	configuration *fleet.Configuration
@@ -101,12 +104,16 @@
 	if !d.eraKnown || r.Position().Revision == 0 || r.Position().Era != d.storeEra {
 		return false
 	}
+	if d.storeEra != firstEra && d.settledEra == d.storeEra {
+		return true
+	}
 	for _, e := range r.LiveEntries() {
 		var spec RouterSpec
 		if err := json.Unmarshal(e.Spec, &spec); err != nil || e.Unconfirmed {
 			continue // An invalid entry is logged where the routers are listed.
 		}
 		if spec.SettledEra != nil && *spec.SettledEra == d.storeEra {
+			d.settledEra = d.storeEra
 			return true
 		}
 	}
--- a/modules/directory/confirmation.go
+++ b/modules/directory/confirmation.go
@@ -186,9 +186,13 @@
 
 // lostNothingLocked reports whether the store still holds what it acknowledged, as far as this
 // router knows. A store that came back from a copy confirms nothing that was acknowledged before
-// until operators have written it again. The caller holds mu.
+// until operators have written it again. A router that starts does not know how long ago that was,
+// unless the era has settled. The caller holds mu.
 func (d *Directory) lostNothingLocked() bool {
-	return d.restoredAt.IsZero() || time.Since(d.restoredAt) > eraSettleTime
+	if !d.restoredAt.IsZero() {
+		return time.Since(d.restoredAt) > eraSettleTime
+	}
+	return d.storeEra == firstEra || time.Since(d.eraKnownSince) > eraSettleTime || d.eraSettledLocked()
 }
 
 // ConfigurationKnown reports whether no newer configuration was acknowledged longer than the
--- a/modules/directory/confirmation_test.go
+++ b/modules/directory/confirmation_test.go
@@ -106,3 +106,21 @@
 	list(3, encode(8))
 	assert.Equal(t, d.View().Config.Version, uint64(8))
 }
+
+// Guards against a final refusal by a router that starts while the store holds a copy without what it
+// had acknowledged: the routers that it asks may lag, too.
+func TestRouterThatStartsInAnUnsettledEraConfirmsNothing(t *testing.T) {
+	d := newDirectory(t)
+	listConfiguration(d, 2, encodeConfiguration(t, 1))
+	d.MergeConfiguration(1, nil) // Another router that has not heard of version 2.
+	assert.Equal(t, versionInForce(d), uint64(1))
+	assert.Assert(t, !d.ConfigurationKnown(d.Standing()))
+	era := uint64(2)
+	spec, err := json.Marshal(RouterSpec{Address: "127.0.0.1:3", SettledEra: &era})
+	assert.NilError(t, err)
+	d.MergeDelta(KindRouters, replica.Delta{
+		At: fleet.StorePosition{Era: 2, Revision: 10}, Complete: true, Entries: []replica.Entry{{Name: "s", Revision: 10, Spec: spec}},
+	})
+	listConfiguration(d, 2, encodeConfiguration(t, 1))
+	assert.Assert(t, d.ConfigurationKnown(d.Standing()), "the era has settled")
+}
--- a/standin/adversary/acts.go
+++ b/standin/adversary/acts.go
@@ -160,9 +160,11 @@
 	statuses := []string{"000", "099", "101", "600", "999"}
 	h := head(statuses[rng.IntN(len(statuses))], a.RequestID, a.Stamp)
 	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(inner))
-	switch rng.IntN(4) {
+	switch rng.IntN(5) {
 	case 0:
 		return h + "Content-Length: 0\r\n\r\n", keepOpen
+	case 4:
+		return h + "\r\n" + inner, keepOpen
 	case 1:
 		return "HTTP/1.1 103 X\r\n" + length + inner, keepOpen
 	case 2:
