Soak: endpoints that answer with status 000, contradict themselves or reset a part

Three faults of the adversary with real processes: a run answered with 000 whose body is the text of a refusal, with 200 and 'not executed', and by a part without a length before a reset.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -165,6 +165,7 @@
 // endpointFaults are the ways in which an endpoint fails requests.
 var endpointFaults = []platform.Fault{
 	platform.FaultNotExecuted, platform.FaultError, platform.FaultNoResponse, platform.FaultTruncatedResponse, platform.FaultRefusalStatus,
+	platform.FaultImpossibleStatus, platform.FaultContradiction, platform.FaultResetPart,
 }
 
 // unplannedFaults may interrupt calls.
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -356,6 +356,9 @@
 		e.sendForeignResponse(rw, id)
 		return
 	}
+	if e.serveRaw(rw, id, fault) {
+		return
+	}
 	rw.Header().Set("Request-Id", id)
 	rw.Header().Set("Server-Stamp", e.ID+"."+id)
 	if fault == FaultCrash || e.isCrashedBy(r) {
