Agents: tell the responses to polls of the engine apart by their fields

The polls of an engine (state, load, cache events, cached blocks) share kept connections, and their responses bear nothing that names the call. A late copy of one was taken for another: an engine with incarnation 0, without load, or with an empty cache. Each response must now have the fields that only it has.

Before: there was no check; TestResponsesToPollsAreToldApart cannot be built without it.

--- a/modules/engine/poll.go
+++ b/modules/engine/poll.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tidwall/gjson"
 
 	"github.com/arbutusline/arbutusline/internal/content"
 )
@@ -117,7 +118,7 @@
 func (p *poller) answerProbe(ctx context.Context) {
 	var info Info
 	old := p.engine.info.Load()
-	err := p.engine.getJSON(ctx, "/v1/info", &info)
+	err := p.engine.getJSON(ctx, "/v1/info", &info, infoFields...)
 	if err != nil {
 		p.failedPolls = failedPollsUntilDown
 		p.reportDown(err)
@@ -159,14 +160,14 @@
 
 func (p *poller) poll(ctx context.Context) {
 	var info Info
-	if err := p.engine.getJSON(ctx, "/v1/info", &info); err != nil {
+	if err := p.engine.getJSON(ctx, "/v1/info", &info, infoFields...); err != nil {
 		p.recordFailedPoll(ctx, err)
 		return
 	}
 	p.failedPolls = 0
 	p.handleInfo(ctx, info)
 	var load LoadReport
-	if err := p.engine.getJSON(ctx, "/v1/load", &load); err == nil {
+	if err := p.engine.getJSON(ctx, "/v1/load", &load, loadFields...); err == nil {
 		p.engine.observer.EngineLoad(load)
 	}
 	p.readCacheEvents(ctx)
@@ -206,7 +207,7 @@
 
 func (p *poller) readCacheSnapshot(ctx context.Context) {
 	var blocks cacheSnapshot
-	if err := p.engine.getJSON(ctx, "/v1/cache/blocks", &blocks); err != nil {
+	if err := p.engine.getJSON(ctx, "/v1/cache/blocks", &blocks, cacheSnapshotFields...); err != nil {
 		p.engine.log.WithError(err).Warn("failed to read cache snapshot from engine")
 		return
 	}
@@ -216,7 +217,7 @@
 
 func (p *poller) readCacheEvents(ctx context.Context) {
 	var batch CacheEventBatch
-	err := p.engine.getJSON(ctx, fmt.Sprintf("/v1/cache/events?since=%d&timeout_ms=0", p.lastSeq), &batch)
+	err := p.engine.getJSON(ctx, fmt.Sprintf("/v1/cache/events?since=%d&timeout_ms=0", p.lastSeq), &batch, cacheEventFields...)
 	if err != nil {
 		return
 	}
@@ -242,7 +243,17 @@
 	return batch.LastSeq != lastSeq
 }
 
-func (e *Engine) getJSON(ctx context.Context, path string, dst any) error {
+// Fields of the response to each poll that the others lack. The polls share connections, on which a
+// late copy of the response to another one may come.
+var (
+	infoFields          = []string{"incarnation", "weights_version"}
+	loadFields          = []string{"at_ms", "free_blocks"}
+	cacheEventFields    = []string{"next", "events"}
+	cacheSnapshotFields = []string{"next", "blocks"}
+)
+
+// getJSON reads the response to a poll, which must have the fields.
+func (e *Engine) getJSON(ctx context.Context, path string, dst any, fields ...string) error {
 	ctx, cancel := context.WithTimeout(ctx, controlCallTimeout)
 	defer cancel()
 	resp, err := e.send(ctx, e.client, http.MethodGet, e.URL+path, nil, nil)
@@ -258,5 +269,12 @@
 		return err
 	}
 	defer body.Release()
-	return body.Decode(polledExpansion, func(text []byte) error { return json.Unmarshal(text, dst) })
+	return body.Decode(polledExpansion, func(text []byte) error {
+		for i, value := range gjson.GetManyBytes(text, fields...) {
+			if !value.Exists() {
+				return errors.Newf("GET %s returned a response without %q", path, fields[i])
+			}
+		}
+		return json.Unmarshal(text, dst)
+	})
 }
--- a/modules/engine/whole_test.go
+++ b/modules/engine/whole_test.go
@@ -92,3 +92,25 @@
 	answer, err := e.CallService(t.Context(), ServiceCall{Method: http.MethodPost, Path: "/x"})
 	assert.Assert(t, errors.Is(err, ErrConnectionBroken), "%+v %v", answer, err)
 }
+
+// Guards against taking a late copy of the response to one poll for the response to another: an
+// engine would count as restarted, idle or empty.
+func TestResponsesToPollsAreToldApart(t *testing.T) {
+	bodies := map[string]string{
+		"info":   `{"incarnation":7,"model":"m","weights_version":"1"}`,
+		"load":   `{"running":0,"waiting":0,"queued_tokens":0,"free_blocks":9,"at_ms":5,"incarnation":7}`,
+		"events": `{"incarnation":7,"next":3,"events":null}`,
+		"blocks": `{"incarnation":7,"next":3,"blocks":[]}`,
+	}
+	fields := map[string][]string{"info": infoFields, "load": loadFields, "events": cacheEventFields, "blocks": cacheSnapshotFields}
+	for sent, body := range bodies {
+		e := startRaw(t, func(conn *net.TCPConn, _ *http.Request) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		})
+		for asked := range bodies {
+			var dst map[string]any
+			err := e.getJSON(t.Context(), "/", &dst, fields[asked]...)
+			assert.Equal(t, err == nil, sent == asked, "%s for %s: %v", sent, asked, err)
+		}
+	}
+}
