--- a/cmd/arbutus-front/adversary_test.go
+++ b/cmd/arbutus-front/adversary_test.go
@@ -32,6 +32,8 @@
 		t.Run(fmt.Sprint("shard ", shard), func(t *testing.T) {
 			t.Parallel()
 			c := newCluster(t)
+			// Ports that were found free stay free only on addresses that nobody else uses.
+			c.network = fmt.Sprintf("127.%d.%d", 1+shard, 1+os.Getpid()%250)
 			c.putConfiguration(2, func(config map[string]any) {
 				config["limits"].(map[string]any)["max_body_bytes"] = 2 * largeUploadBytes
 			})
--- a/cmd/arbutus-front/cluster_test.go
+++ b/cmd/arbutus-front/cluster_test.go
@@ -40,6 +40,8 @@
 	linger string
 	// modules are those of the routers.
 	modules []string
+	// network is the beginning of the routers' addresses.
+	network string
 }
 
 type testRouter struct {
@@ -52,7 +54,7 @@
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, store: &platform.Store{}, endpointServers: map[string]*httptest.Server{}, logs: &logChecker{t: t, loggedMessages: map[string]bool{}}, eraWait: "100ms", linger: "200ms", modules: modules}
+	c := &cluster{t: t, store: &platform.Store{}, endpointServers: map[string]*httptest.Server{}, logs: &logChecker{t: t, loggedMessages: map[string]bool{}}, eraWait: "100ms", linger: "200ms", modules: modules, network: "127.0.0"}
 	c.putConfiguration(1, nil)
 	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 1})
 	return c
@@ -100,7 +102,7 @@
 // them.
 func (c *cluster) loadRouter() *testRouter {
 	routerNumber := len(c.routers) + 2
-	r := &testRouter{ip: fmt.Sprintf("127.0.0.%d", routerNumber), storeProxy: &platform.StoreProxy{Store: c.store}}
+	r := &testRouter{ip: fmt.Sprintf("%s.%d", c.network, routerNumber), storeProxy: &platform.StoreProxy{Store: c.store}}
 	server := httptest.NewServer(r.storeProxy)
 	c.t.Cleanup(server.Close)
 	storeAddress := strings.TrimPrefix(server.URL, "http://")
