First era of a store: confirm at once

The fix for routers that start in an unsettled era took era 0 for the only first one. A store has not come back from a copy if its objects hold no mark of an earlier era. Until the routers' objects are known, nothing is confirmed.

--- a/modules/directory/configuration.go
+++ b/modules/directory/configuration.go
@@ -19,9 +19,6 @@
 // copy of the store lacked. They do so as soon as the store answers.
 const eraSettleTime = 10 * time.Second
 
-// firstEra is the era of a store that never came back from a copy.
-const firstEra = 0
-
 // activeConfiguration is the configuration in force.
 type activeConfiguration struct {
 	configuration *fleet.Configuration
@@ -104,7 +101,7 @@
 	if !d.eraKnown || r.Position().Revision == 0 || r.Position().Era != d.storeEra {
 		return false
 	}
-	if d.storeEra != firstEra && d.settledEra == d.storeEra {
+	if d.anyEraSettled && d.settledEra == d.storeEra {
 		return true
 	}
 	for _, e := range r.LiveEntries() {
@@ -113,13 +110,29 @@
 			continue // An invalid entry is logged where the routers are listed.
 		}
 		if spec.SettledEra != nil && *spec.SettledEra == d.storeEra {
-			d.settledEra = d.storeEra
+			d.settledEra, d.anyEraSettled = d.storeEra, true
 			return true
 		}
 	}
 	return false
 }
 
+// inFirstEraLocked reports whether the store has not come back from a copy, as far as its objects
+// tell: none holds the mark of an earlier era. The caller holds mu.
+func (d *Directory) inFirstEraLocked() bool {
+	r := d.replicas[KindRouters]
+	if r.Position().Revision == 0 {
+		return false
+	}
+	for _, e := range r.LiveEntries() {
+		var spec RouterSpec
+		if err := json.Unmarshal(e.Spec, &spec); err == nil && spec.SettledEra != nil && *spec.SettledEra < d.storeEra {
+			return false
+		}
+	}
+	return true
+}
+
 // othersPatienceLocked returns how long after its start this router asks the others for their
 // configuration. One that knows of a newer configuration than the store's waits until operators
 // must have written it again, should the routers that have it be gone. The caller holds mu.
--- a/modules/directory/confirmation.go
+++ b/modules/directory/confirmation.go
@@ -192,7 +192,7 @@
 	if !d.restoredAt.IsZero() {
 		return time.Since(d.restoredAt) > eraSettleTime
 	}
-	return d.storeEra == firstEra || time.Since(d.eraKnownSince) > eraSettleTime || d.eraSettledLocked()
+	return time.Since(d.eraKnownSince) > eraSettleTime || d.eraSettledLocked() || d.inFirstEraLocked()
 }
 
 // ConfigurationKnown reports whether no newer configuration was acknowledged longer than the
--- a/modules/directory/confirmation_test.go
+++ b/modules/directory/confirmation_test.go
@@ -107,6 +107,16 @@
 	assert.Equal(t, d.View().Config.Version, uint64(8))
 }
 
+// listRouters lists a router that has found an era settled.
+func listRouters(t *testing.T, d *Directory, era, settledEra uint64) {
+	spec, err := json.Marshal(RouterSpec{Address: "127.0.0.1:3", SettledEra: &settledEra})
+	assert.NilError(t, err)
+	d.MergeDelta(KindRouters, replica.Delta{
+		At: fleet.StorePosition{Era: era, Revision: 10 + settledEra}, Complete: true,
+		Entries: []replica.Entry{{Name: "s", Revision: 10 + settledEra, Spec: spec}},
+	})
+}
+
 // Guards against a final refusal by a router that starts while the store holds a copy without what it
 // had acknowledged: the routers that it asks may lag, too.
 func TestRouterThatStartsInAnUnsettledEraConfirmsNothing(t *testing.T) {
@@ -114,13 +124,18 @@
 	listConfiguration(d, 2, encodeConfiguration(t, 1))
 	d.MergeConfiguration(1, nil) // Another router that has not heard of version 2.
 	assert.Equal(t, versionInForce(d), uint64(1))
+	assert.Assert(t, !d.ConfigurationKnown(d.Standing()), "the marks are not known")
+	listRouters(t, d, 2, 1)
 	assert.Assert(t, !d.ConfigurationKnown(d.Standing()))
-	era := uint64(2)
-	spec, err := json.Marshal(RouterSpec{Address: "127.0.0.1:3", SettledEra: &era})
-	assert.NilError(t, err)
-	d.MergeDelta(KindRouters, replica.Delta{
-		At: fleet.StorePosition{Era: 2, Revision: 10}, Complete: true, Entries: []replica.Entry{{Name: "s", Revision: 10, Spec: spec}},
-	})
-	listConfiguration(d, 2, encodeConfiguration(t, 1))
+	listRouters(t, d, 2, 2)
 	assert.Assert(t, d.ConfigurationKnown(d.Standing()), "the era has settled")
 }
+
+// Guards against a deployment that starts for the first time and refuses nothing for good for a while.
+func TestFirstEraConfirmsAtOnce(t *testing.T) {
+	d := newDirectory(t)
+	listConfiguration(d, 1, encodeConfiguration(t, 1))
+	d.MergeConfiguration(1, nil)
+	d.MergeDelta(KindRouters, replica.Delta{At: fleet.StorePosition{Era: 1, Revision: 9}, Complete: true})
+	assert.Assert(t, d.ConfigurationKnown(d.Standing()))
+}
--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -143,8 +143,10 @@
 	eraKnownSince time.Time
 	// restoredAt is when this router learned that the store came back from a copy, or zero.
 	restoredAt time.Time
-	// settledEra is the last era that this router found settled, or firstEra. An era stays settled.
-	settledEra uint64
+	// settledEra is the last era that this router found settled, if anyEraSettled is true. An era
+	// stays settled.
+	settledEra    uint64
+	anyEraSettled bool
 	// storeTrusted is true once this router takes configurations of the store.
 	storeTrusted bool
 	// statedVersion is the newest configuration that another router has stated to have.
--- a/modules/directory/era.go
+++ b/modules/directory/era.go
@@ -83,6 +83,9 @@
 	if position := r.Position(); asOf >= 0 && d.confirmations[kind] != nil && position.Era == delta.At.Era && !position.Before(delta.At) {
 		d.confirmLocked(kind, source, asOf)
 	}
+	if kind == KindRouters {
+		d.updateStanding() // The marks of eras are among the routers.
+	}
 }
 
 // dropUnconfirmedLocked drops the objects that a restored copy of the store lacks and that
