--- a/standin/adversary/acts.go
+++ b/standin/adversary/acts.go
@@ -124,7 +124,9 @@
 	ends := []ending{closeInOrder, reset, halfClose, goSilent}
 	next := ends[rng.IntN(len(ends))]
 	length := rng.IntN(len(text))
-	if headLength := strings.Index(text, "\r\n\r\n") + 4; !framed && length >= headLength {
+	headLength := strings.Index(text, "\r\n\r\n") + 4
+	insideEvent := c.endpoint.StreamEvents > 0 && !strings.HasSuffix(text[:length], "\n\n")
+	if !framed && length >= headLength && !(insideEvent && length > headLength) {
 		next = reset // Only a reset tells that a body without a length is not whole.
 	}
 	return text[:length], next
