Stand-in of the store: write responses without holding its lock

Traced: reads of sound routers timed out for 10 s, because the stand-in wrote the response to a list under its lock, and the response to the silenced router waited there for the end of the silence: the whole store stood still. No check is changed.

--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -252,20 +252,21 @@
 }
 
 func (s *Store) list(w http.ResponseWriter, kind string) {
+	// The response is written without the lock: a client that hears nothing must not stop the others.
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	items := []Object{}
+	items, revision := []Object{}, s.revision
 	for _, o := range s.objects[kind] {
 		items = append(items, o)
 	}
+	s.mu.Unlock()
 	slices.SortFunc(items, func(a, b Object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "store_revision": s.revision})
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "store_revision": revision})
 }
 
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	o, ok := s.objects[kind][name]
+	s.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
