Stop without waiting for connections that went silent

GracefulStop waits until clients close their connections; those at the end of a silent one hear nothing. The server now counts running calls and closes what is left once none has run for .5 s.

--- a/modules/grpcserver/grpcserver.go
+++ b/modules/grpcserver/grpcserver.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,11 @@
 	initialStreamWindowBytes = 256 << 10
 	keepaliveInterval        = 5 * time.Second
 	keepaliveTimeout         = 3 * time.Second
+	// flushTime is how long after the last call its response may take to reach the client:
+	// several round trips. A connection that went silent never closes by itself.
+	flushTime = 500 * time.Millisecond
+	// callsCheckInterval is the time between two checks during a stop whether calls run.
+	callsCheckInterval = 50 * time.Millisecond
 	// minClientPingInterval is the minimum interval between keepalive pings of a
 	// client. The server disconnects clients that ping more often.
 	minClientPingInterval = time.Second
@@ -53,6 +59,8 @@
 
 	log    *logrus.Entry
 	server *grpc.Server
+	// running is the number of calls that are being processed.
+	running atomic.Int64
 }
 
 // ModuleName returns "grpc".
@@ -62,6 +70,7 @@
 func (s *Server) Provision(k *arbutusline.Kernel) error {
 	s.log = k.Log.WithField("module", Name)
 	s.server = grpc.NewServer(append(s.limitMessages(k),
+		grpc.ChainUnaryInterceptor(s.countUnary), grpc.ChainStreamInterceptor(s.countStream),
 		grpc.InitialWindowSize(initialStreamWindowBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minClientPingInterval, PermitWithoutStream: true}),
@@ -107,19 +116,45 @@
 	return nil
 }
 
-// Stop waits until all running calls have ended. If ctx ends first, Stop closes the
-// connections and returns an error.
+// countUnary counts a running call.
+func (s *Server) countUnary(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	return handler(ctx, request)
+}
+
+// countStream counts a running call.
+func (s *Server) countStream(server any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) error {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	return handler(server, stream)
+}
+
+// Stop waits until all running calls have ended, and a little longer for their responses. If ctx
+// ends first, Stop closes the connections and returns an error.
 func (s *Server) Stop(ctx context.Context) error {
 	done := make(chan struct{})
 	go func() {
 		s.server.GracefulStop()
 		close(done)
 	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		s.server.Stop()
-		return errors.Wrap(ctx.Err(), "gRPC calls were still running at shutdown")
+	ticker := time.NewTicker(callsCheckInterval)
+	defer ticker.Stop()
+	lastCall := time.Now()
+	for {
+		select {
+		case <-done:
+			return nil
+		case <-ctx.Done():
+			s.server.Stop()
+			return errors.Wrap(ctx.Err(), "gRPC calls were still running at shutdown")
+		case <-ticker.C:
+			if s.running.Load() > 0 {
+				lastCall = time.Now()
+			}
+			if time.Since(lastCall) > flushTime {
+				s.server.Stop() // Ends the wait for connections whose clients do not close them.
+			}
+		}
 	}
 }
