--- a/modules/engine/whole_test.go
+++ b/modules/engine/whole_test.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -11,29 +10,13 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/arbutusline/arbutusline/standin/rawhttp"
 )
 
-// startRaw returns the engine of an endpoint that passes each request, whose body it has not read, to
-// serve with its connection.
+// startRaw returns the engine of an endpoint that answers with bytes of its own.
 func startRaw(t *testing.T, serve func(*net.TCPConn, *http.Request)) *Engine {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return // The test is over.
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					serve(conn.(*net.TCPConn), r)
-				}
-			}()
-		}
-	}()
-	e := &Engine{URL: "http://" + listener.Addr().String()}
+	e := &Engine{URL: "http://" + rawhttp.Start(t, serve)}
 	e.createClients(nil)
 	return e
 }
--- a/modules/objectstore/whole_test.go
+++ b/modules/objectstore/whole_test.go
@@ -1,7 +1,6 @@
 package objectstore
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -13,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/arbutusline/arbutusline/objectstore"
+	"github.com/arbutusline/arbutusline/standin/rawhttp"
 )
 
 // Guards against a part of an answer without a length that is taken for the whole value, a write that
@@ -32,29 +32,18 @@
 		"informational, with body": {answer: "HTTP/1.1 103 X\r\nContent-Length: 59\r\n\r\n" + inner},
 	} {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			defer func() { _ = listener.Close() }()
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return // The test is over.
-					}
-					r, err := http.ReadRequest(bufio.NewReader(conn))
-					if err == nil && !test.early {
-						_, _ = io.Copy(io.Discard, r.Body)
-					}
-					_, _ = io.WriteString(conn, test.answer)
-					if test.early {
-						time.Sleep(20 * time.Millisecond) // A reset that overtakes the head is an error in any case.
-						_ = conn.(*net.TCPConn).SetLinger(0)
-					}
-					_ = conn.Close()
+			address := rawhttp.Start(t, func(conn *net.TCPConn, r *http.Request) {
+				if !test.early {
+					_, _ = io.Copy(io.Discard, r.Body)
 				}
-			}()
-			client := newTestClient(t, "http://"+listener.Addr().String())
-			_, err = client.Get(context.Background(), "k")
+				_, _ = io.WriteString(conn, test.answer)
+				if test.early {
+					time.Sleep(20 * time.Millisecond) // A reset that overtakes the head is an error in any case.
+					_ = conn.SetLinger(0)
+				}
+			})
+			client := newTestClient(t, "http://"+address)
+			_, err := client.Get(context.Background(), "k")
 			assert.Assert(t, errors.Is(err, objectstore.ErrUnavailable), "%v", err)
 			_, err = client.Put(context.Background(), "k", make([]byte, objectstore.MaxValueBytes), 3)
 			assert.Assert(t, errors.Is(err, objectstore.ErrAmbiguous), "%v", err)
--- a/modules/orders/response_test.go
+++ b/modules/orders/response_test.go
@@ -1,7 +1,6 @@
 package orders
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	pb "github.com/arbutusline/arbutusline/api/arbutuspb"
+	"github.com/arbutusline/arbutusline/standin/rawhttp"
 )
 
 // Guards against an order that an agent sends a second time because its engine answers with a
@@ -34,21 +34,10 @@
 // Guards against an order that counts as accepted because of a status that is no response.
 func TestImpossibleStatusAcceptsNoOrder(t *testing.T) {
 	for _, status := range []string{"000", "101", "999"} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer func() { _ = listener.Close() }()
-		go func() {
-			conn, err := listener.Accept()
-			if err != nil {
-				return // The test is over.
-			}
-			defer func() { _ = conn.Close() }()
-			if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n", status)
-			}
-		}()
-		s := newOrderServer("llm-1", "http://"+listener.Addr().String(), nil)
+		s := newOrderServer("llm-1", "http://"+rawhttp.Start(t, func(conn *net.TCPConn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n", status)
+		}), nil)
 		result, message := s.postToEngine(t.Context(), &pb.OrderRequest{Token: 1})
 		assert.Equal(t, result, pb.OrderResult_ORDER_RESULT_UNKNOWN, "%s: %s", status, message)
 	}
