--- a/fleet/prompt.go
+++ b/fleet/prompt.go
@@ -15,6 +15,9 @@
 	Tokens int
 	// MaxOutputTokens is the maximum number of tokens to generate.
 	MaxOutputTokens int
+	// OutputTokensHint is the caller's estimate of the number of tokens to generate, or 0 if
+	// it gave none. Half of the estimates are too low, and many are far off.
+	OutputTokensHint int
 	// Parts are the pieces of the prompt in order. The last one is specific to the
 	// request or its session; the others may be shared.
 	Parts []PromptPart
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -42,6 +42,9 @@
 	// LatencyObjective is the target time to the response, or to the first
 	// event of a stream.
 	LatencyObjective time.Duration
+	// GapObjective is the longest pause between events with which a stream is on time, or
+	// 0 if the configuration does not say.
+	GapObjective time.Duration
 	// Priority is the priority of the route's requests; 0 is the highest.
 	Priority int
 	// TrafficSplit lists the services of the route; there is at least one.
@@ -85,7 +88,10 @@
 	KVCapacityTokens int
 	// KVBytesPerToken is the size of one token in the KV cache.
 	KVBytesPerToken int
-	Models          []string
+	// TokensPerEvent is the number of output tokens in an event of a stream, or 0 if the
+	// configuration does not say.
+	TokensPerEvent int
+	Models         []string
 }
 
 // Limits are the limits on requests from callers.
