Soak: save the logs of a failed test also when a wait ends it

Cause: the logs of a seed were saved as the last step of the test, so that a wait that timed out ended it before. Change: they are saved when the deployment ends, after its routers have stopped, also for the tests with silent connections and with many routers.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -114,6 +114,8 @@
 // addresses.
 func newDeployment(t *testing.T, index, watchers, routerCount, serviceCount, engineCount int) *deployment {
 	d := &deployment{t: t, dir: t.TempDir(), startedAt: time.Now(), store: &platform.Store{}}
+	// Runs after the routers have stopped, also if a wait ends the test.
+	t.Cleanup(func() { d.saveLogs(index) })
 	d.history.EventsPerStream = eventsPerStream
 	d.publishNextConfiguration()
 	d.publishNextWeightsVersion()
@@ -252,6 +254,18 @@
 	}
 }
 
+// saveLogs copies the files of a failed test out of the test's temporary directory.
+func (d *deployment) saveLogs(index int) {
+	if !d.t.Failed() {
+		return
+	}
+	dir, err := os.MkdirTemp("", fmt.Sprintf("arbutus-soak-%d-", index))
+	if err == nil {
+		err = os.CopyFS(dir, os.DirFS(d.dir))
+	}
+	d.t.Logf("logs saved in %s, error %v", dir, err)
+}
+
 // createFiles creates the log file and the settings file.
 func (r *router) createFiles() {
 	var err error
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -114,9 +114,6 @@
 	d.checkLogs()
 	t.Logf("%d calls, %d executions, %d weights orders, %d faults", len(history.Calls), len(history.Executions), len(history.WeightsOrders), len(history.Faults))
 	assert.Assert(t, len(history.Calls) > 0 && len(history.Executions) > 0 && len(history.ServedVersions) > 0)
-	if t.Failed() {
-		d.saveLogs(seed)
-	}
 }
 
 // injectFaults starts random faults, which may overlap, and waits for their end.
@@ -367,12 +364,3 @@
 		}
 	}
 }
-
-// saveLogs copies the files of a failed seed out of the test's temporary directory.
-func (d *deployment) saveLogs(seed uint64) {
-	dir, err := os.MkdirTemp("", fmt.Sprintf("arbutus-soak-%d-", seed))
-	if err == nil {
-		err = os.CopyFS(dir, os.DirFS(d.dir))
-	}
-	d.t.Logf("logs saved in %s, error %v", dir, err)
-}
