Forget that an endpoint was removed once it is back

Cause: an endpoint whose object was removed is left out for 5 s when the store comes back from a copy, as the copy may list it from before. One that had come back since was left out, too, at each restore in the 10 minutes after its removal: in use for 2.3 s as a removed one, then unused. Change: its removal is forgotten when it is in the view again.

TestEndpointThatCameBackIsUsedAfterARestore failed before and passes.

--- a/modules/directory/directory.go
+++ b/modules/directory/directory.go
@@ -122,7 +122,7 @@
 	retainedEndpoints       map[string]retainedEndpoint
 	// leavingEndpoints are the endpoints that said themselves that they shut down.
 	leavingEndpoints map[string]leavingEndpoint
-	// departedEndpoints are the endpoints whose objects were removed.
+	// departedEndpoints are the endpoints whose objects were removed and that are not back.
 	departedEndpoints map[string]departedEndpoint
 	decodedEndpoints  map[string]decodedEndpoint
 	// loggedInvalidRevisions maps the name of each logged invalid object to its
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -257,6 +257,8 @@
 func (d *Directory) logEndpointChangesLocked(old, v *fleet.View) {
 	for id, e := range v.EndpointsByID {
 		previous := old.EndpointsByID[id]
+		// One that is back has not left: the next restore must not hold its removal against it.
+		delete(d.departedEndpoints, id)
 		if previous == nil || previous.State != e.State {
 			d.log.WithFields(logrus.Fields{
 				"endpoint": id, "service": e.Service, "address": e.Address, "software": e.SoftwareVersion, "draining": e.State == fleet.Draining,
