Drop what an engine reported of its weights when it starts again

Cause: weights versions that an engine states are kept by its ID, and an engine may start again under it. It then counted as having what its predecessor had loaded, so that no order followed, until a request was refused there because of its version. Change: a new start time in the entry drops them. TestSuccessorWithTheSameIDHasItsOwnWeights failed before and passes.

--- a/modules/directory/leaving_test.go
+++ b/modules/directory/leaving_test.go
@@ -39,3 +39,17 @@
 	defer d.mu.Unlock()
 	assert.Assert(t, !d.ignoredAsDepartedLocked(d.view.Load().EndpointsByID["e"], time.Now()))
 }
+
+// Guards against an engine that started again under its ID, with the weights that it is started with, and counts
+// as having those that its predecessor loaded: no order follows.
+func TestSuccessorWithTheSameIDHasItsOwnWeights(t *testing.T) {
+	engine := func(version, sequence, startedAtUnixMS int) string {
+		return entry("ready", sequence, startedAtUnixMS)[:len(entry("ready", sequence, startedAtUnixMS))-1] + fmt.Sprintf(`,"models":[{"name":"m","version":%d}]}`, version)
+	}
+	d := newDirectory(t)
+	mergeEntries(d, 1, 50, true, engine(1, 1, 1000))
+	d.SetWeightsVersion("e", "m", 3)
+	assert.Equal(t, d.View().EndpointsByID["e"].WeightsVersions["m"], uint64(3))
+	mergeEntries(d, 1, 51, false, engine(1, 1, 2000))
+	assert.Equal(t, d.View().EndpointsByID["e"].WeightsVersions["m"], uint64(1))
+}
--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -177,6 +177,10 @@
 		}
 		cached = decodedEndpoint{e.Revision, endpoint}
 		d.decodedEndpoints[e.Name] = cached
+		if previous := d.view.Load().EndpointsByID[e.Name]; previous != nil && previous.StartedAtUnixMS != endpoint.StartedAtUnixMS {
+			// It started again and holds nothing of what it reported before.
+			delete(d.observedWeightsVersions, e.Name)
+		}
 	}
 	return withObservedWeightsVersions(cached.endpoint, d.observedWeightsVersions[e.Name])
 }
