End the memory of a draining endpoint when it says again that it is ready

When the store comes back from a copy, a router remembers which endpoints were draining, as the copy may list them as ready from before. Nothing ended that memory but a new start of the endpoint. An engine that was ready again, as a planned change of the soak makes it, got neither requests nor weights orders at any router that ran through the restore. The lease and the published versions were not at fault: after the restore the other engines got 227 requests and this one none, and no router had a change to make.

Change: entries of endpoints have a sequence. The memory keeps that of the last draining entry; a ready entry with a higher one is later and ends it, in whatever era, and one with a lower one is older. What an endpoint said in a response stands as before. Two log lines tell when the memory begins and ends. The stand-in of the platform wrote the same sequence each time and counts now.

TestEndpointThatStaysAfterAllIsUsedAfterARestore and TestNewestEntryOfAnEndpointTellsWhetherItLeaves failed before and pass, the first also fails with the stand-in's change alone.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -47,6 +47,8 @@
 	// Endpoints.
 	"endpoint added or changed state":             {"endpoint", "service", "address", "software", "draining"},
 	"endpoint says that it leaves":                {"endpoint", "service", "address"},
+	"leaving endpoint remembered":                 {"endpoint", "service", "sequence"},
+	"endpoint revoked that it leaves":             {"endpoint", "service", "sequence", "before"},
 	"endpoint removed":                            {"endpoint", "service", "address"},
 	"endpoint suspended":                          {"request", "endpoint", "address", "result", "failure_share", "suspensions", "for_ms"},
 	"endpoint restored":                           {"request", "endpoint", "address", "failure_share"},
--- a/cmd/arbutus-front/restored_test.go
+++ b/cmd/arbutus-front/restored_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -140,3 +141,30 @@
 		c.eventually("the router has the configuration of the others", func() bool { return started.serves(2) })
 	}
 }
+
+// Guards against an engine that stays unused and keeps its weights for ever because it was draining
+// when the store came back from a copy, although it has written since that it is ready; and against
+// believing the copy, which lists it as ready from before.
+func TestEndpointThatStaysAfterAllIsUsedAfterARestore(t *testing.T) {
+	c := newCluster(t)
+	c.startEndpoint(engineEndpoint("e1"))
+	staying := c.startEndpoint(engineEndpoint("e2"))
+	router := c.startRouter()
+	state := func() fleet.EndpointState { return router.fleetView().EndpointsByID["e2"].State }
+	for era := uint64(2); era <= 3; era++ { // What was remembered at one restore must not outlast the next one either.
+		copied := c.store.Copy()
+		c.registerEndpoint(staying, "draining")
+		c.eventually("the engine is draining", func() bool { return state() == fleet.Draining })
+		c.store.Restore(copied)
+		c.eventually("the router has listed the endpoints of the copy", func() bool {
+			return slices.ContainsFunc(router.directory().ReplicaPositions(), func(p directory.ReplicaPosition) bool {
+				return p.Kind == platform.KindEndpoints && p.Position.Era == era
+			})
+		})
+		assert.Equal(t, state(), fleet.Draining)
+		c.registerEndpoint(staying, "ready")
+		c.eventually("the engine is ready", func() bool { return state() == fleet.Ready })
+	}
+	c.store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+	c.eventually("the engine has the new weights", func() bool { return staying.WeightsVersion() == 2 })
+}
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -154,6 +154,9 @@
 	WarmupRemaining time.Duration
 	// StartedAtUnixMS is the start time of the endpoint, 0 when unknown.
 	StartedAtUnixMS int64
+	// Sequence rises with what the endpoint writes about itself: of two entries with the same ID
+	// and start time, the one with the higher sequence was written later.
+	Sequence uint64
 	// WeightsVersions maps each loaded model to the version of its weights.
 	WeightsVersions map[string]uint64
 }
--- a/modules/directory/leaving.go
+++ b/modules/directory/leaving.go
@@ -12,6 +12,11 @@
 type leavingEndpoint struct {
 	startedAtUnixMS int64
 	saidAt          time.Time
+	// inEntry is true if it said so in its entry in the store. A ready entry with a higher
+	// sequence than that of the last such entry then revokes it. What it said in a response
+	// stands, as responses and entries have no common order.
+	inEntry  bool
+	sequence uint64
 }
 
 // leavingRetention is how long a leaving endpoint is remembered that the store does not
@@ -35,9 +40,12 @@
 // when the store comes back from a copy in which they are ready. The caller holds mu.
 func (d *Directory) rememberDeparturesLocked(now time.Time) {
 	for id, e := range d.view.Load().EndpointsByID {
-		if e.State == fleet.Draining {
-			d.leavingEndpoints[id] = leavingEndpoint{e.StartedAtUnixMS, now}
+		// One that is remembered already may be ready in its entry, which then is an older one.
+		if known, ok := d.leavingEndpoints[id]; e.State != fleet.Draining || ok && known.startedAtUnixMS == e.StartedAtUnixMS {
+			continue
 		}
+		d.leavingEndpoints[id] = leavingEndpoint{startedAtUnixMS: e.StartedAtUnixMS, saidAt: now, inEntry: true, sequence: e.Sequence}
+		d.log.WithFields(logrus.Fields{"endpoint": id, "service": e.Service, "sequence": e.Sequence}).Info("leaving endpoint remembered")
 	}
 	for id, departed := range d.departedEndpoints {
 		departed.ignoredUntil = now.Add(departedQuarantine)
@@ -80,20 +88,30 @@
 	if known, ok := d.leavingEndpoints[e.ID]; ok && known.startedAtUnixMS == e.StartedAtUnixMS {
 		return
 	}
-	d.leavingEndpoints[e.ID] = leavingEndpoint{e.StartedAtUnixMS, time.Now()}
+	d.leavingEndpoints[e.ID] = leavingEndpoint{startedAtUnixMS: e.StartedAtUnixMS, saidAt: time.Now()}
 	d.log.WithFields(logrus.Fields{"endpoint": e.ID, "service": e.Service, "address": e.Address}).Info("endpoint says that it leaves")
 	d.publishViewLocked()
 }
 
-// markLeavingEndpointsLocked replaces the endpoints of a view that said that they shut down
-// by draining ones. The caller holds mu.
+// markLeavingEndpointsLocked replaces the endpoints of a view that said that they shut down, and
+// have not revoked it, by draining ones. The caller holds mu.
 func (d *Directory) markLeavingEndpointsLocked(v *fleet.View) {
 	for id, l := range d.leavingEndpoints {
 		e := v.EndpointsByID[id]
 		switch {
-		case e == nil && time.Since(l.saidAt) > leavingRetention, e != nil && e.StartedAtUnixMS != l.startedAtUnixMS:
+		case e == nil:
+			if time.Since(l.saidAt) > leavingRetention {
+				delete(d.leavingEndpoints, id)
+			}
+		case e.StartedAtUnixMS != l.startedAtUnixMS:
 			delete(d.leavingEndpoints, id)
-		case e != nil && e.State == fleet.Ready:
+		case e.State == fleet.Draining:
+			l.sequence = max(l.sequence, e.Sequence)
+			d.leavingEndpoints[id] = l
+		case l.inEntry && e.Sequence > l.sequence:
+			delete(d.leavingEndpoints, id)
+			d.log.WithFields(logrus.Fields{"endpoint": id, "service": e.Service, "sequence": e.Sequence, "before": l.sequence}).Info("endpoint revoked that it leaves")
+		default:
 			draining := *e
 			draining.State = fleet.Draining
 			v.EndpointsByID[id] = &draining
--- a/modules/directory/leaving_test.go
+++ b/modules/directory/leaving_test.go
@@ -26,6 +26,45 @@
 	return fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":8,"state":%q,"sequence":%d,"born":%d}`, state, sequence, startedAtUnixMS)
 }
 
+// Guards against an endpoint that counts as draining for ever after a restore of the store because
+// it was draining before, and against one that counts as ready because a copy has an older entry.
+func TestNewestEntryOfAnEndpointTellsWhetherItLeaves(t *testing.T) {
+	state := func(d *Directory) fleet.EndpointState { return d.View().EndpointsByID["e"].State }
+	d := newDirectory(t)
+	mergeEntries(d, 1, 50, true, entry("draining", 5, 1000))
+	mergeEntries(d, 2, 40, true, entry("ready", 4, 1000))
+	assert.Equal(t, state(d), fleet.Draining, "an entry of before was believed")
+	mergeEntries(d, 3, 30, true, entry("ready", 3, 1000))
+	assert.Equal(t, state(d), fleet.Draining, "a second restore made an older entry count")
+	mergeEntries(d, 4, 35, true, entry("ready", 4, 1000))
+	assert.Equal(t, state(d), fleet.Draining, "an entry of between the copies was believed")
+	mergeEntries(d, 4, 36, false, entry("draining", 7, 1000))
+	mergeEntries(d, 5, 35, true, entry("ready", 6, 1000))
+	assert.Equal(t, state(d), fleet.Draining, "the entry before the last report of leaving was believed")
+	mergeEntries(d, 5, 37, false, entry("ready", 8, 1000))
+	assert.Equal(t, state(d), fleet.Ready, "a newer entry did not count")
+	mergeEntries(d, 6, 30, true, entry("ready", 3, 1000))
+	assert.Equal(t, state(d), fleet.Ready)
+
+	d = newDirectory(t)
+	mergeEntries(d, 1, 50, true, entry("draining", 5, 1000))
+	mergeEntries(d, 2, 40, true, entry("ready", 1, 2000))
+	assert.Equal(t, state(d), fleet.Ready, "the successor with the same ID counts as draining")
+}
+
+// Guards against believing an entry that was written at an unknown time, before or after the response in which
+// the endpoint said that it leaves.
+func TestEntryDoesNotUndoWhatAResponseSaid(t *testing.T) {
+	d := newDirectory(t)
+	mergeEntries(d, 1, 50, true, entry("ready", 5, 1000))
+	d.ObserveLeaving(d.View().EndpointsByID["e"])
+	mergeEntries(d, 1, 51, false, entry("ready", 6, 1000))
+	assert.Equal(t, d.View().EndpointsByID["e"].State, fleet.Draining)
+	mergeEntries(d, 2, 40, true, entry("ready", 5, 1000))
+	mergeEntries(d, 2, 41, false, entry("ready", 7, 1000))
+	assert.Equal(t, d.View().EndpointsByID["e"].State, fleet.Draining)
+}
+
 // Guards against an endpoint that stays unused for departedQuarantine after a restore because its
 // object was removed once, although it has been back since.
 func TestEndpointThatCameBackIsUsedAfterARestore(t *testing.T) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -44,6 +44,7 @@
 	cause string
 }{
 	{4, "SIGTERM or SIGHUP during startup killed the process"},
+	{9909, "an engine that drained when the store came back from a copy stayed draining"},
 }
 
 // Guards against violations of the guarantees that History.Violations checks, under
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -50,8 +50,10 @@
 	CrashingPart string
 
 	// crash ends the endpoint like a process that is killed. It is set by EndpointHost.
-	crash           func()
-	mu              sync.Mutex
+	crash func()
+	mu    sync.Mutex
+	// entrySequence is the number of entries that the endpoint has written.
+	entrySequence   uint64
 	weightsVersion  uint64
 	acceptedOrders  uint64
 	orderInProgress bool
@@ -241,13 +243,15 @@
 	return append([]uint64(nil), e.orderVersions...)
 }
 
-// StoreEntry returns the entry with which the endpoint registers in the store.
+// StoreEntry returns the entry with which the endpoint registers in the store. Each has a higher
+// sequence than the one before.
 func (e *Endpoint) StoreEntry(address, zone, state string) map[string]any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.entrySequence++
 	entry := map[string]any{
 		"service": e.Service, "address": address, "zone": zone, "version": e.softwareVersion(), "slots": 8, "state": state,
-		"cold_remaining_ms": 0, "sequence": 1,
+		"cold_remaining_ms": 0, "sequence": e.entrySequence,
 	}
 	if e.Model != "" {
 		entry["models"] = []map[string]any{{"name": e.Model, "version": e.weightsVersion, "adapters": []string{}}}
