--- a/modules/directory/view.go
+++ b/modules/directory/view.go
@@ -177,6 +177,10 @@
 		}
 		cached = decodedEndpoint{e.Revision, endpoint}
 		d.decodedEndpoints[e.Name] = cached
+		if previous := d.view.Load().EndpointsByID[e.Name]; previous != nil && previous.StartedAtUnixMS != endpoint.StartedAtUnixMS {
+			// It started again and holds nothing of what it reported before.
+			delete(d.observedWeightsVersions, e.Name)
+		}
 	}
 	return withObservedWeightsVersions(cached.endpoint, d.observedWeightsVersions[e.Name])
 }
@@ -257,6 +261,8 @@
 func (d *Directory) logEndpointChangesLocked(old, v *fleet.View) {
 	for id, e := range v.EndpointsByID {
 		previous := old.EndpointsByID[id]
+		// One that is back has not left: the next restore must not hold its removal against it.
+		delete(d.departedEndpoints, id)
 		if previous == nil || previous.State != e.State {
 			d.log.WithFields(logrus.Fields{
 				"endpoint": id, "service": e.Service, "address": e.Address, "software": e.SoftwareVersion, "draining": e.State == fleet.Draining,
