Exchange the KV memory and the speed of endpoints between routers

Cause: routers need to know of each other how fast endpoints are and how much of their KV memory is taken. Change: EndpointLoad has both, and messages carry them both ways; nothing sets them yet. Sums of KV memory are bounded against reports that overflow. go test -race ./decision/selection ./modules/exchange passes.

--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -334,6 +334,12 @@
 	PendingPrefillTokens int
 	// LongRunning is the number of running requests that may take seconds.
 	LongRunning int
+	// KVTokens is the maximum KV memory, in tokens, that the running requests will need.
+	KVTokens int
+	// Speed is the router's estimate of the endpoint's speed, 1 being the median of its
+	// service, from SpeedSamples observations. Both are 0 if it is unknown.
+	Speed        float64
+	SpeedSamples int
 }
 
 // Loads returns this router's own work at each endpoint.
@@ -341,7 +347,7 @@
 	var out []EndpointLoad
 	for id, st := range s.endpoints {
 		if st.running > 0 {
-			out = append(out, EndpointLoad{id, st.running, st.pendingPrefillTokens, st.longRunning})
+			out = append(out, EndpointLoad{EndpointID: id, Running: st.running, PendingPrefillTokens: st.pendingPrefillTokens, LongRunning: st.longRunning})
 		}
 	}
 	return out
--- a/decision/selection/use.go
+++ b/decision/selection/use.go
@@ -64,6 +64,6 @@
 // LoadsBySource returns the work at an endpoint of this router and of all other routers.
 func (s *Selector) LoadsBySource(endpointID string) (own, remote EndpointLoad) {
 	st := s.endpointState(endpointID)
-	return EndpointLoad{endpointID, st.running, st.pendingPrefillTokens, st.longRunning},
-		EndpointLoad{endpointID, st.remoteRunning, st.remotePendingPrefillTokens, st.remoteLongRunning}
+	return EndpointLoad{EndpointID: endpointID, Running: st.running, PendingPrefillTokens: st.pendingPrefillTokens, LongRunning: st.longRunning},
+		EndpointLoad{EndpointID: endpointID, Running: st.remoteRunning, PendingPrefillTokens: st.remotePendingPrefillTokens, LongRunning: st.remoteLongRunning}
 }
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -49,9 +50,7 @@
 		out.Positions = append(out.Positions, position)
 	}
 	for _, l := range x.relay.Loads() {
-		out.Loads = append(out.Loads, &arbutuspb.EndpointLoad{
-			Endpoint: l.EndpointID, Running: uint32(l.Running), Unread: uint32(l.PendingPrefillTokens), Long: uint32(l.LongRunning),
-		})
+		out.Loads = append(out.Loads, encodeLoad(l))
 	}
 	for _, report := range x.relay.PendingCrashReports(maxCrashReportsPerMessage) {
 		out.Strikes = append(out.Strikes, &arbutuspb.CrashStrike{
@@ -82,6 +81,22 @@
 	return out
 }
 
+func encodeLoad(l selection.EndpointLoad) *arbutuspb.EndpointLoad {
+	return &arbutuspb.EndpointLoad{
+		Endpoint: l.EndpointID, Running: uint32(l.Running), Unread: uint32(l.PendingPrefillTokens), Long: uint32(l.LongRunning),
+		KvTokens: uint64(max(0, l.KVTokens)), Speed: float32(l.Speed), SpeedSamples: uint32(max(0, l.SpeedSamples)),
+	}
+}
+
+// decodeLoad returns the load in a message. It bounds the KV memory, as sums of larger
+// numbers overflow.
+func decodeLoad(l *arbutuspb.EndpointLoad) selection.EndpointLoad {
+	return selection.EndpointLoad{
+		EndpointID: l.GetEndpoint(), Running: int(l.GetRunning()), PendingPrefillTokens: int(l.GetUnread()), LongRunning: int(l.GetLong()),
+		KVTokens: int(min(l.GetKvTokens(), math.MaxInt32)), Speed: float64(l.GetSpeed()), SpeedSamples: int(l.GetSpeedSamples()),
+	}
+}
+
 // recentUpdates returns the weights changes and cached parts whose lifetimes have not
 // ended, including the parts that are new since the last message.
 func (x *Exchange) recentUpdates() ([]*arbutuspb.WeightsChange, []*arbutuspb.HeldParts) {
@@ -150,7 +165,7 @@
 	x.mu.Unlock()
 	loads := make([]selection.EndpointLoad, 0, len(in.GetLoads()))
 	for _, l := range in.GetLoads() {
-		loads = append(loads, selection.EndpointLoad{EndpointID: l.GetEndpoint(), Running: int(l.GetRunning()), PendingPrefillTokens: int(l.GetUnread()), LongRunning: int(l.GetLong())})
+		loads = append(loads, decodeLoad(l))
 	}
 	x.relay.SetRemoteLoads(in.GetName(), loads)
 	for _, report := range in.GetStrikes() {
