decision/costmodel: errors of 0 and of high prefill rates

Change: a quantile at the floor is 0, P90 is at least P50, and the rate does not use the floor. go test -race ./decision/costmodel passes.

--- a/decision/costmodel/costmodel.go
+++ b/decision/costmodel/costmodel.go
@@ -119,9 +119,11 @@
 func (m *Model) Errors() []RouteError {
 	out := make([]RouteError, 0, len(m.errors))
 	for route, e := range m.errors {
+		// The two quantiles are followed separately, and may cross if they are close.
+		output, firstEvent := e.output[0].value(), e.firstEvent[0].value()
 		out = append(out, RouteError{
-			Route: route, OutputP50: e.output[0].value(), OutputP90: e.output[1].value(), OutputSamples: e.output[0].samples,
-			FirstEventP50: milliseconds(e.firstEvent[0].value()), FirstEventP90: milliseconds(e.firstEvent[1].value()),
+			Route: route, OutputP50: output, OutputP90: max(output, e.output[1].value()), OutputSamples: e.output[0].samples,
+			FirstEventP50: milliseconds(firstEvent), FirstEventP90: milliseconds(max(firstEvent, e.firstEvent[1].value())),
 			FirstEventSamples: e.firstEvent[0].samples,
 		})
 	}
@@ -169,10 +171,14 @@
 	}
 }
 
-// value returns the quantile, or 0 without observations.
+// value returns the quantile. It is 0 without observations, and if it is that of
+// observations that count as minObservation, of which it stays within a step.
 func (q *logQuantile) value() float64 {
 	if q.samples == 0 {
 		return 0
 	}
-	return math.Exp(q.log)
+	if v := math.Exp(q.log); v > minObservation*math.Exp(minQuantileStep) {
+		return v
+	}
+	return 0
 }
--- a/decision/costmodel/output_test.go
+++ b/decision/costmodel/output_test.go
@@ -184,6 +184,9 @@
 	e := m.Errors()[0]
 	p50, p90 := e.FirstEventP50.Seconds()*1000, e.FirstEventP90.Seconds()*1000
 	assert.Assert(t, p50 > 40 && p50 < 60 && p90 > 80 && p90 < 100, "%.0f, %.0f", p50, p90)
-	assert.Equal(t, e.OutputP50, 0.0)
 	assert.Equal(t, e.FirstEventSamples, 2000)
+	for range 100 {
+		m.ObserveOutput(RequestInfo{Route: "r"}, 20, true)
+	}
+	assert.Equal(t, m.Errors()[0].OutputP90, 0.0, "estimates that are right have an error")
 }
--- a/decision/costmodel/prefill.go
+++ b/decision/costmodel/prefill.go
@@ -60,7 +60,7 @@
 // is the configured rate while too little is known.
 func (m *Model) PrefillRate(service string) float64 {
 	if s := m.services[service]; s != nil && s.prefill.samples >= minSamples {
-		return 1e3 / s.prefill.perToken.value()
+		return 1e3 / math.Exp(s.prefill.perToken.log)
 	}
 	return m.cfg.PrefillTokensPerMS
 }
