relay: learn costs of requests and speeds of endpoints

Cause: decision/costmodel needs observations, and routers that each see a part of the streams need each other's. Change: with the new setting relay.cost_aware (default false), which a reload switches, the relay passes first events, pauses and output lengths of engines' streams to the model, sends the observed speeds with its loads and merges those of others. Pauses that are the router's own, and the one before the last event, do not count. Metrics show speeds, prefill rates and the errors of estimates; a debug line compares estimates with what came. Selection does not use the estimates yet.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -87,6 +87,13 @@
 	"prompt part condemned or cleared":      {"part", "change", "crashes", "moments", "other_crashes", "tests", "source"},
 	"request tests a condemned prompt part": {"request", "part"},
 
+	// Estimates of costs.
+	"estimated the cost of a request": {
+		"request", "route", "service", "team", "endpoint", "try", "known", "output_tokens", "output_p90", "observed_tokens", "complete", "hint",
+		"computed_tokens", "prefill_tokens_per_ms", "speed", "speed_samples", "wait_ms", "prefill_ms", "first_ms",
+	},
+	"ignored implausible endpoint speed": {"router", "endpoint", "speed", "samples"},
+
 	// Weights changes.
 	"weights version published":                                  {"model", "weights"},
 	"order lease acquired or lost":                               {"fence", "held"},
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -443,6 +443,7 @@
 	x.relay.trackAttempt(a, true)
 	defer x.relay.trackAttempt(a, false)
 	a.logSentToOldWeights()
+	a.beginCosts()
 	res := a.run(ctx)
 	res.headReceived, res.eventCount, res.duration = a.headReceived, a.eventCount, time.Since(a.startedAt)
 	res.connection = a.connection
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -16,6 +16,7 @@
 
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/decision/budget"
+	"github.com/arbutusline/arbutusline/decision/costmodel"
 	"github.com/arbutusline/arbutusline/decision/overload"
 	"github.com/arbutusline/arbutusline/decision/poison"
 	"github.com/arbutusline/arbutusline/decision/selection"
@@ -63,6 +64,9 @@
 	// which no request begins on an older one, even if no engine has loaded the new
 	// one, unless no router reaches the store. Default 8s.
 	WeightsDeadline settings.Duration `json:"weights_deadline"`
+	// CostAware lets the router learn what requests cost and how fast endpoints are, and
+	// exchange the speeds with other routers. Default false.
+	CostAware bool `json:"cost_aware"`
 
 	log       *logrus.Entry
 	directory *directory.Directory
@@ -106,6 +110,9 @@
 	runningAttempts map[string]map[*attempt]bool
 	// fetchingStatus holds the IDs of the engines whose status is being fetched.
 	fetchingStatus map[string]bool
+	// costModel is nil unless CostAware is set.
+	costModel                    *costmodel.Model
+	estimateLines, speedWarnings lineLimit
 
 	metrics metrics
 }
@@ -150,7 +157,9 @@
 	if err != nil {
 		return err
 	}
+	r.setCostAwareLocked(r.CostAware)
 	r.metrics.register(a.Registry())
+	a.Registry().MustRegister(newCostCollector(r))
 	r.zone, r.routerID = n.Zone, n.ID
 	r.selector = selection.New(selection.Config{
 		PrefillTokensPerMS: r.PrefillTokensPerMS, FetchTokensPerMS: fetchTokensPerMS, RecomputeFactor: recomputeFactor,
@@ -204,13 +213,14 @@
 	return nil
 }
 
-// Reload applies the retry budget and the limits for old weights.
+// Reload applies the retry budget, the limits for old weights and cost awareness.
 func (r *Relay) Reload(next arbutusline.Module) {
 	n := next.(*Relay)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.RetryRatio, r.RetrySlack, r.OldWeightsLimit, r.WeightsDeadline = n.RetryRatio, n.RetrySlack, n.OldWeightsLimit, n.WeightsDeadline
 	r.selector.SetWeightsLimits(r.OldWeightsLimit.AsDuration(), r.WeightsDeadline.AsDuration())
+	r.setCostAwareLocked(n.CostAware)
 }
 
 // now returns the time since clockOrigin.
@@ -229,13 +239,14 @@
 	}
 	r.selector.SetRouters(position, routers)
 	r.selector.ForgetRemovedEndpoints(view)
+	r.forgetCostsLocked(view)
 }
 
 // Loads returns the load that this router causes at each endpoint.
 func (r *Relay) Loads() []selection.EndpointLoad {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.selector.Loads()
+	return r.addSpeedsLocked(r.selector.Loads())
 }
 
 // SetRemoteLoads replaces the load that another router causes at each endpoint.
@@ -245,6 +256,7 @@
 	now := r.now()
 	r.selector.ReplaceRemoteLoads(r.remoteLoads[router].loads, loads)
 	r.remoteLoads[router] = remoteLoad{now, loads}
+	r.mergeSpeedsLocked(router, loads)
 	for name, l := range r.remoteLoads {
 		if now-l.receivedAt > remoteLoadLifetime {
 			r.selector.ReplaceRemoteLoads(l.loads, nil)
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -52,6 +52,7 @@
 	prefillEndRecorded bool
 	// soundRecorded is true after observeSound was called.
 	soundRecorded bool
+	costs         costObservation
 }
 
 // formatCacheNamespace returns the KV cache namespace of a weights version and a
@@ -234,6 +235,7 @@
 func (a *attempt) forwardStream(ctx context.Context, response *upstream.Response) result {
 	scanner := sse.NewScanner(response.Body, response.Memory.Grow)
 	for {
+		buffered := a.costs.on && scanner.HasBufferedEvent()
 		event, err := scanner.Next()
 		if errors.Is(err, io.EOF) {
 			return a.finishStream(scanner, response)
@@ -243,6 +245,7 @@
 		}
 		if !event.Comment {
 			a.onEvent()
+			a.observeEvent(buffered)
 		}
 		if a.alreadySent(event.ID) {
 			continue
@@ -276,6 +279,7 @@
 	a.flush()
 	if response.SelfDelimited && a.eventCount > 0 {
 		a.observeSound()
+		a.costs.complete = true
 	}
 	return result{kind: resultDone, status: response.Status, header: response.Header}
 }
@@ -344,6 +348,7 @@
 // recordEnd reports the end of the attempt to the selector.
 func (a *attempt) recordEnd(res result) {
 	a.recordPrefillEnded(false)
+	a.endCosts()
 	change, health := a.recordOutcome(res.endpointOutcome(), res.kind == resultDone)
 	switch change {
 	case selection.SuspensionStarted:
