Selection by learned costs: engines for small prompts, speeds, KV memory

A router in an aperture of two engines could not avoid a slow one.

Change: with relay.cost_aware, where a route has an objective over twice its gap objective, light requests prefer a part of the engines whose size follows the work that all routers report, fast engines first; heavy ones stay outside; light ones use others when theirs are busy. Waits and prefill times follow learned speeds, and engines without KV memory cost the time of a slot more.

--- a/decision/selection/aperture.go
+++ b/decision/selection/aperture.go
@@ -68,9 +68,12 @@
 // and reports whether one of them should run it. Plain requests do not prefer them: their
 // services have few endpoints, and one that fails must be compared with all others.
 func (d *decision) considerAperture() bool {
-	if d.request.Prompt == nil || d.recomputeCost(d.sharedTokens) > maxApertureRecompute {
+	if d.request.Prompt == nil || d.partitioned && d.heavy || d.recomputeCost(d.sharedTokens) > maxApertureRecompute {
 		return false
 	}
+	if d.partitioned {
+		return d.considerLightPartition()
+	}
 	for _, i := range d.pool.aperture {
 		d.consider(i)
 	}
--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -36,6 +36,14 @@
 	// fields count those of all other routers.
 	running, pendingPrefillTokens, longRunning                   int
 	remoteRunning, remotePendingPrefillTokens, remoteLongRunning int
+	// speed is the speed relative to the median endpoint of the service, and averageSpeed its
+	// moving average. Both are 0 while unknown.
+	speed, averageSpeed float64
+	// light is true if the endpoint is in the light partition.
+	light bool
+	// kvTokens is the KV memory that this router's requests need at most, and
+	// remoteKVTokens that of all other routers, for requests to which cost-aware selection applies.
+	kvTokens, remoteKVTokens int
 	// failureRate is the moving average of failed requests, from 0 to 1.
 	failureRate         float64
 	consecutiveFailures int
@@ -116,6 +124,10 @@
 		return
 	}
 	st.pendingPrefillTokens += r.Prompt.Tokens - c.CachedTokens
+	st.kvTokens += c.KVTokens
+	if s.isHeavy(r) {
+		s.observeHeavyWork(now, r, c)
+	}
 	for _, key := range partKeys(r.CacheNamespace, r.Prompt) {
 		if s.partIndex.recordUse(key, c.Endpoint.ID, c.WeightsVersion, now) {
 			s.partIndex.queueUpdate(holderUpdate{key, c.Endpoint.ID, c.WeightsVersion, false})
@@ -219,6 +231,7 @@
 func (s *Selector) ObserveEnded(now time.Duration, r *Request, c Choice, o Outcome) SuspensionChange {
 	st := s.endpointState(c.Endpoint.ID)
 	st.running = max(0, st.running-1)
+	st.kvTokens = max(0, st.kvTokens-c.KVTokens)
 	if r.IsLong() {
 		st.longRunning = max(0, st.longRunning-1)
 	}
@@ -347,7 +360,7 @@
 	var out []EndpointLoad
 	for id, st := range s.endpoints {
 		if st.running > 0 {
-			out = append(out, EndpointLoad{EndpointID: id, Running: st.running, PendingPrefillTokens: st.pendingPrefillTokens, LongRunning: st.longRunning})
+			out = append(out, EndpointLoad{EndpointID: id, Running: st.running, PendingPrefillTokens: st.pendingPrefillTokens, LongRunning: st.longRunning, KVTokens: st.kvTokens})
 		}
 	}
 	return out
@@ -361,6 +374,7 @@
 			st.remoteRunning = max(0, st.remoteRunning-l.Running)
 			st.remotePendingPrefillTokens = max(0, st.remotePendingPrefillTokens-l.PendingPrefillTokens)
 			st.remoteLongRunning = max(0, st.remoteLongRunning-l.LongRunning)
+			st.remoteKVTokens = max(0, st.remoteKVTokens-l.KVTokens)
 		}
 	}
 	for _, l := range now {
@@ -368,6 +382,7 @@
 		st.remoteRunning += l.Running
 		st.remotePendingPrefillTokens += l.PendingPrefillTokens
 		st.remoteLongRunning += l.LongRunning
+		st.remoteKVTokens += l.KVTokens
 	}
 }
 
--- a/decision/selection/pool.go
+++ b/decision/selection/pool.go
@@ -21,6 +21,9 @@
 	// newestLoadedVersion is the newest weights version that an endpoint of the pool
 	// has loaded.
 	newestLoadedVersion uint64
+	// kvCapacity is the KV memory of an engine in tokens, or 0 if it is unknown.
+	kvCapacity int
+	partition  partition
 }
 
 // candidate is an endpoint that may be chosen.
@@ -35,6 +38,8 @@
 	superseded    bool
 	supersededAt  time.Time
 	crossZoneCost time.Duration
+	// light is true in the light partition.
+	light bool
 }
 
 // pool returns the candidates for a request in the view. They are collected once per
@@ -71,12 +76,18 @@
 		p.newestLoadedVersion = max(p.newestLoadedVersion, c.weightsVersion)
 		p.candidates = append(p.candidates, c)
 	}
+	p.partition.valid, p.partition.lightShare, p.kvCapacity = false, 0, 0
+	if v.Config != nil {
+		if service := v.Config.Services[key.service]; service != nil && service.Engine != nil {
+			p.kvCapacity = service.Engine.KVCapacityTokens
+		}
+	}
 	p.fillAperture(s.zone, s.zonePosition, s.zoneRouters)
 }
 
 // preferred returns the positions of the two endpoints that rendezvous hashing ranks
 // first for the last shared part, or -1 where there is none.
-func (p *pool) preferred(keys []uint64) (first, second int) {
+func (p *pool) preferred(keys []uint64, exceptLight bool) (first, second int) {
 	first, second = -1, -1
 	if len(keys) == 0 {
 		return first, second
@@ -84,6 +95,9 @@
 	last := keys[len(keys)-1]
 	var firstHash, secondHash uint64
 	for i := range p.candidates {
+		if exceptLight && p.candidates[i].light {
+			continue
+		}
 		h := mix(last ^ p.candidates[i].idHash)
 		switch {
 		case h > firstHash:
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -47,6 +47,11 @@
 	// HolderLifetime is how long an endpoint counts as holder of a part after the
 	// last use of the part there.
 	HolderLifetime time.Duration
+	// CostAware enables learned costs and the partition of the engines between requests with
+	// small and with large prompts, for requests with a GapObjective.
+	CostAware bool
+	// Seed is the seed of random choices. Routers need different ones.
+	Seed uint64
 	// MaxParts is the maximum number of parts in the index of cached parts.
 	MaxParts int
 }
@@ -74,6 +79,11 @@
 	// Repeatable requests may run more than once. They may therefore be the first
 	// request to an endpoint after its suspension.
 	Repeatable bool
+	// GapObjective is the longest pause between events with which the stream is on time. It is
+	// 0 for requests to which cost-aware selection does not apply.
+	GapObjective time.Duration
+	// OutputTokens is the expected number of output tokens.
+	OutputTokens int
 }
 
 // longOutputTokens is the number of output tokens above which a request counts as long:
@@ -104,6 +114,9 @@
 	SelectedAt time.Duration
 	// CachedTokens is the expected number of cached prompt tokens.
 	CachedTokens int
+	// FetchedTokens is the number of tokens that the endpoint should fetch, and KVTokens the
+	// KV memory that the request is counted with, 0 without cost-aware selection.
+	FetchedTokens, KVTokens int
 	// FetchFrom is the address of another endpoint or the KV cache store from which
 	// the endpoint should fetch shared parts that it lacks, empty when there is none.
 	FetchFrom string
@@ -141,7 +154,13 @@
 	throttle     *throttle.Table
 	// slotTimes are the times for which requests occupy a slot, by service.
 	slotTimes map[string]*slotTime
-	scratch   scratch
+	// work is the prompt work by service.
+	work map[string]*work
+	// fastest is the highest speed of an endpoint, at least 1.
+	fastest float64
+	// choices counts random choices.
+	choices uint64
+	scratch scratch
 }
 
 // scratch is memory of one decision that is reused for the next, to avoid allocations.
@@ -169,7 +188,7 @@
 	prefillPerToken := float64(time.Millisecond) / cfg.PrefillTokensPerMS
 	return &Selector{
 		cfg: cfg, zone: zone, endpoints: map[string]*endpointState{}, partIndex: newPartIndex(cfg.MaxParts), pools: map[poolKey]*pool{},
-		throttle: throttle.New(), slotTimes: map[string]*slotTime{},
+		throttle: throttle.New(), slotTimes: map[string]*slotTime{}, work: map[string]*work{}, fastest: 1,
 		prefillPerToken: time.Duration(prefillPerToken), recomputePerToken: time.Duration(prefillPerToken * cfg.RecomputeFactor),
 	}
 }
@@ -189,6 +208,10 @@
 func (s *Selector) Select(now time.Duration, wall time.Time, v *fleet.View, r *Request) (Choice, bool) {
 	d := decision{Selector: s, now: now, wall: wall, request: r, isLong: r.IsLong(), pool: s.pool(v, r), bestIndex: -1}
 	d.fetchPlan.firstPreferred, d.fetchPlan.secondPreferred = -1, -1
+	if s.costAware(r) {
+		s.updatePartition(now, d.pool, r)
+		d.partitioned, d.heavy, d.kvTokens = d.pool.partition.lightShare > 0, s.isHeavy(r), s.kvTokensOf(r)
+	}
 	if r.Prompt != nil {
 		d.findHolders(v)
 	}
@@ -231,6 +254,10 @@
 	bestCost  time.Duration
 	// weightsExpiredSeen is true if a candidate was left out only for its weights.
 	weightsExpiredSeen bool
+	// partitioned is true if the pool has a light partition, and heavy if the request's prompt
+	// is large. kvTokens is the KV memory that the request needs, 0 if that does not matter.
+	partitioned, heavy bool
+	kvTokens           int
 }
 
 // findHolders finds the endpoints that hold parts of the prompt.
@@ -242,12 +269,13 @@
 	d.scratch.partKeys = keys
 	d.findCoverage(d.now, keys, r.Prompt)
 	d.fetchPlan = d.Selector.planFetches(d.now, v, r, len(keys))
-	d.fetchPlan.firstPreferred, d.fetchPlan.secondPreferred = d.pool.preferred(keys)
+	d.fetchPlan.firstPreferred, d.fetchPlan.secondPreferred = d.pool.preferred(keys, d.partitioned && d.heavy)
 	d.uncachedPromptCost = d.prefillTime(d.unsharedTokens)
 	if len(d.fetchPlan.sourceLists) == 0 && d.sharedTokens > 0 {
 		recompute := d.recomputeCost(d.sharedTokens)
 		d.uncachedPromptCost += recompute + min(notPreferredCost, recompute)
 	}
+	d.uncachedPromptCost = time.Duration(float64(d.uncachedPromptCost) / d.fastest)
 }
 
 // consider makes the candidate at position i the best one if it may run the request
@@ -296,8 +324,9 @@
 		out.SupersededFor = d.wall.Sub(c.supersededAt)
 	}
 	out.Wait = d.expectedWait(c)
-	out.Prefill = d.prefillTime(d.request.Prompt.Tokens-plan.cachedTokens-plan.fetchedTokens) + d.fetchTime(plan.fetchedTokens)
-	if plan.fetchedTokens > 0 {
+	out.Prefill = c.state.atSpeed(d.prefillTime(d.request.Prompt.Tokens-plan.cachedTokens-plan.fetchedTokens)) + d.fetchTime(plan.fetchedTokens)
+	out.KVTokens = d.kvTokens
+	if out.FetchedTokens = plan.fetchedTokens; plan.fetchedTokens > 0 {
 		from, _ := d.fetchPlan.sourceFor(c.weightsVersion, plan.cachedParts)
 		out.FetchFrom = from.address
 	}
@@ -397,7 +426,7 @@
 	if d.request.Prompt == nil {
 		return cost + d.cfg.ServiceTime*running/time.Duration(c.endpoint.Slots)
 	}
-	return cost + d.expectedWait(c) + d.cfg.RunningRequestCost*running
+	return cost + d.crossingCost(c) + d.preemptionCost(c) + d.expectedWait(c) + c.state.atSpeed(d.cfg.RunningRequestCost*running)
 }
 
 // prefillPlan describes how an endpoint gets the shared parts of the prompt; what it
@@ -430,7 +459,7 @@
 			plan.cost += d.fetchTime(plan.fetchedTokens)
 		}
 	}
-	plan.cost += d.prefillTime(d.unsharedTokens) + d.recomputeCost(missingTokens)
+	plan.cost += c.state.atSpeed(d.prefillTime(d.unsharedTokens) + d.recomputeCost(missingTokens))
 	if plan.cachedTokens < d.sharedTokens {
 		plan.cost += min(d.fetchPlan.newCopyCost(i), d.recomputeCost(d.sharedTokens-plan.cachedTokens))
 	}
@@ -468,13 +497,13 @@
 
 // queueTime is the time in which an endpoint computes the prompts that wait there.
 func (s *Selector) queueTime(st *endpointState) time.Duration {
-	return s.prefillTime(st.pendingPrefillTokens + st.remotePendingPrefillTokens)
+	return st.atSpeed(s.prefillTime(st.pendingPrefillTokens + st.remotePendingPrefillTokens))
 }
 
 // expectedWait is the time until the candidate begins with another prompt: until it has computed
 // those that wait there and, if all of its slots are taken, one is free.
 func (d *decision) expectedWait(c *candidate) time.Duration {
-	return d.queueTime(c.state) + d.waitForSlot(c.state, c.endpoint)
+	return d.queueTime(c.state) + max(d.waitForSlot(c.state, c.endpoint), d.waitForMemory(c))
 }
 
 // fetchTime is the time in which an engine fetches cached tokens.
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// BuildIndexes builds the indexes that RouteFor and TeamForKey use. Call it once,
+// BuildIndexes builds the indexes that HasSlack, RouteFor and TeamForKey use. Call it once,
 // before the configuration is shared between goroutines.
 func (c *Configuration) BuildIndexes() {
 	c.routesByHostname = map[string][]*Route{}
@@ -19,6 +19,14 @@
 			return len(routes[i].PathPrefix) > len(routes[j].PathPrefix)
 		})
 	}
+	c.servicesWithSlack = map[string]bool{}
+	for i := range c.Routes {
+		for _, share := range c.Routes[i].TrafficSplit {
+			if c.Routes[i].HasSlack() {
+				c.servicesWithSlack[share.Service] = true
+			}
+		}
+	}
 	c.teamsByKey = map[string]*Team{}
 	for i := range c.Teams {
 		for _, key := range c.Teams[i].APIKeys {
@@ -27,6 +35,9 @@
 	}
 }
 
+// HasSlack reports whether a route to the service has slack, see Route.HasSlack.
+func (c *Configuration) HasSlack(service string) bool { return c.servicesWithSlack[service] }
+
 // RouteFor returns the route of the HTTP host name with the longest matching path
 // prefix, or nil. A port in hostname is ignored.
 func (c *Configuration) RouteFor(hostname, path string) *Route {
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -63,6 +63,16 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// slackFactor is how many times the longest pause between events a latency objective must
+// exceed to leave slack.
+const slackFactor = 2
+
+// HasSlack reports whether the route's latency objective leaves the time to run its requests
+// at fewer engines, where they wait longer, in favour of the streams at the others.
+func (r *Route) HasSlack() bool {
+	return r.Kind == Stream && r.GapObjective > 0 && r.LatencyObjective > slackFactor*r.GapObjective
+}
+
 // Service is a group of interchangeable endpoints.
 type Service struct {
 	Name string
@@ -124,6 +134,8 @@
 
 	routesByHostname map[string][]*Route
 	teamsByKey       map[string]*Team
+	// servicesWithSlack is keyed by service.
+	servicesWithSlack map[string]bool
 }
 
 // EndpointState is the state that an endpoint reports.
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -52,6 +52,9 @@
 	for _, l := range x.relay.Loads() {
 		out.Loads = append(out.Loads, encodeLoad(l))
 	}
+	for _, w := range x.relay.WorkRates() {
+		out.WorkRates = append(out.WorkRates, &arbutuspb.WorkRate{Service: w.Service, Light: w.Light, Heavy: w.Heavy})
+	}
 	for _, report := range x.relay.PendingCrashReports(maxCrashReportsPerMessage) {
 		out.Strikes = append(out.Strikes, &arbutuspb.CrashStrike{
 			Fingerprint: report.Fingerprint, Endpoint: report.Endpoint, AgeMs: uint32(report.Age.Milliseconds()),
@@ -167,7 +170,11 @@
 	for _, l := range in.GetLoads() {
 		loads = append(loads, decodeLoad(l))
 	}
-	x.relay.SetRemoteLoads(in.GetName(), loads)
+	work := make([]selection.WorkRate, 0, len(in.GetWorkRates()))
+	for _, w := range in.GetWorkRates() {
+		work = append(work, selection.WorkRate{Service: w.GetService(), Light: w.GetLight(), Heavy: w.GetHeavy()})
+	}
+	x.relay.SetRemoteLoads(in.GetName(), loads, work)
 	for _, report := range in.GetStrikes() {
 		x.relay.AddCrashReport(strikes.CrashReport{
 			Fingerprint: report.GetFingerprint(), Endpoint: report.GetEndpoint(), Age: time.Duration(report.GetAgeMs()) * time.Millisecond,
--- a/modules/relay/costs.go
+++ b/modules/relay/costs.go
@@ -40,6 +40,31 @@
 	}
 }
 
+// costAwareLocked reports whether learned costs apply to a service: if they are enabled, and
+// the configuration has a route to the service whose objective leaves room for them. The
+// caller holds mu.
+func (r *Relay) costAwareLocked(service string) bool {
+	config := r.directory.View().Config
+	return r.CostAware && config != nil && config.HasSlack(service)
+}
+
+// observeArrival prepares the request for cost-aware selection, if it applies, and records the
+// work that it brings.
+func (x *execution) observeArrival() {
+	if x.req.Prompt == nil || x.req.Route.Kind != fleet.Stream {
+		return
+	}
+	r := x.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.costAwareLocked(x.req.Service) {
+		return
+	}
+	x.gapObjective = x.req.Route.GapObjective
+	x.outputTokens = r.costModel.EstimateOutput(x.costRequestLocked()).Tokens
+	r.selector.ObserveArrival(r.now(), x.selectionRequest())
+}
+
 // forgetCostsLocked drops the speeds of endpoints that are not in the view. The caller holds
 // mu.
 func (r *Relay) forgetCostsLocked(view *fleet.View) {
@@ -52,6 +77,7 @@
 // holds mu.
 func (r *Relay) addSpeedsLocked(loads []selection.EndpointLoad) []selection.EndpointLoad {
 	if r.costModel != nil {
+		r.updateSpeedsLocked()
 		for i := range loads {
 			loads[i].Speed, loads[i].SpeedSamples = r.costModel.OwnSpeed(r.now(), loads[i].EndpointID)
 		}
@@ -59,6 +85,27 @@
 	return loads
 }
 
+// speedUpdateInterval is the time between two updates of the speeds that endpoint selection
+// uses. An engine may become slow for half a second.
+const speedUpdateInterval = 250 * time.Millisecond
+
+// updateSpeedsLocked passes the speeds of endpoints to endpoint selection. The caller holds
+// mu.
+func (r *Relay) updateSpeedsLocked() {
+	now := r.now()
+	if now-r.speedsUpdatedAt < speedUpdateInterval {
+		return
+	}
+	r.speedsUpdatedAt = now
+	r.selector.UpdateSpeeds(func(endpointID string) float64 {
+		speed, samples := r.costModel.Speed(now, endpointID)
+		if samples == 0 {
+			return 0
+		}
+		return speed
+	})
+}
+
 // mergeSpeedsLocked adds the speeds that another router has observed. The caller holds mu.
 func (r *Relay) mergeSpeedsLocked(router string, loads []selection.EndpointLoad) {
 	if r.costModel == nil {
@@ -138,7 +185,7 @@
 	r := a.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.costModel == nil {
+	if !r.costAwareLocked(a.req.Service) {
 		return
 	}
 	c := &a.costs
@@ -183,6 +230,9 @@
 		a.observePrefillLocked(now)
 		return
 	}
+	if r.selector.PendingPrefillTokens(a.choice.Endpoint.ID) > 0 {
+		return // The pause tells how much work the engine has, not how fast it is.
+	}
 	running := r.selector.RunningRequests(a.choice.Endpoint.ID)
 	r.costModel.ObserveEventGap(r.now(), a.req.Service, a.choice.Endpoint.ID, pause, max(1, a.costs.request.TokensPerEvent), running)
 }
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -156,6 +156,9 @@
 	headerSent bool
 	// lastEventID is the ID of the last event that the caller has received.
 	lastEventID string
+	// gapObjective and outputTokens are those of selection.Request.
+	gapObjective time.Duration
+	outputTokens int
 	// softwareVersions are the versions that may run the request, in order of preference.
 	// It is nil if all may.
 	softwareVersions []string
@@ -206,6 +209,7 @@
 		x.refuse(reasonPartCrashesEngines, 0)
 		return
 	}
+	x.observeArrival()
 	if reason := x.pinSoftwareVersion(ctx); reason != "" {
 		x.refuse(reason, refusalRetryAfter)
 		return
@@ -399,7 +403,7 @@
 	}
 	return &selection.Request{
 		SoftwareVersion: softwareVersion, Service: x.req.Service, Prompt: x.req.Prompt, CacheNamespace: x.teamNamespace, Exclude: x.excluded,
-		Repeatable: x.req.Route.Repeatable(), MovedForWeightsChange: x.lastResult.kind == resultMoved,
+		Repeatable: x.req.Route.Repeatable(), GapObjective: x.gapObjective, OutputTokens: x.outputTokens, MovedForWeightsChange: x.lastResult.kind == resultMoved,
 		AllowExpiredWeights: x.relay.directory.StoreUnreachableForAll(),
 	}
 }
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
@@ -113,6 +114,8 @@
 	// costModel is nil unless CostAware is set.
 	costModel                    *costmodel.Model
 	estimateLines, speedWarnings lineLimit
+	// speedsUpdatedAt is when the selector last got the speeds of endpoints.
+	speedsUpdatedAt time.Duration
 
 	metrics metrics
 }
@@ -121,6 +124,7 @@
 type remoteLoad struct {
 	receivedAt time.Duration
 	loads      []selection.EndpointLoad
+	work       []selection.WorkRate
 }
 
 // remoteLoadLifetime is how long the load reported by another router is used. Routers
@@ -167,6 +171,7 @@
 		OldWeightsCost: oldWeightsCost, OldWeightsGrace: oldWeightsGrace, OldWeightsLimit: r.OldWeightsLimit.AsDuration(),
 		WeightsDeadline: r.WeightsDeadline.AsDuration(), FailureCost: failureCost,
 		ServiceTime: serviceTime, HolderLifetime: holderLifetime, MaxParts: maxParts,
+		CostAware: r.CostAware, Seed: xxhash.Sum64String(r.routerID),
 	}, r.zone)
 	r.directory.Subscribe(r.onViewChange)
 	return nil
@@ -221,6 +226,7 @@
 	r.RetryRatio, r.RetrySlack, r.OldWeightsLimit, r.WeightsDeadline = n.RetryRatio, n.RetrySlack, n.OldWeightsLimit, n.WeightsDeadline
 	r.selector.SetWeightsLimits(r.OldWeightsLimit.AsDuration(), r.WeightsDeadline.AsDuration())
 	r.setCostAwareLocked(n.CostAware)
+	r.selector.SetCostAware(n.CostAware)
 }
 
 // now returns the time since clockOrigin.
@@ -249,17 +255,27 @@
 	return r.addSpeedsLocked(r.selector.Loads())
 }
 
-// SetRemoteLoads replaces the load that another router causes at each endpoint.
-func (r *Relay) SetRemoteLoads(router string, loads []selection.EndpointLoad) {
+// WorkRates returns the prompt work that this router starts at each service.
+func (r *Relay) WorkRates() []selection.WorkRate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.selector.WorkRates(r.now())
+}
+
+// SetRemoteLoads replaces the load that another router causes at each endpoint, and the work
+// that it starts.
+func (r *Relay) SetRemoteLoads(router string, loads []selection.EndpointLoad, work []selection.WorkRate) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
 	r.selector.ReplaceRemoteLoads(r.remoteLoads[router].loads, loads)
-	r.remoteLoads[router] = remoteLoad{now, loads}
+	work = r.selector.ReplaceRemoteWork(r.remoteLoads[router].work, work)
+	r.remoteLoads[router] = remoteLoad{now, loads, work}
 	r.mergeSpeedsLocked(router, loads)
 	for name, l := range r.remoteLoads {
 		if now-l.receivedAt > remoteLoadLifetime {
 			r.selector.ReplaceRemoteLoads(l.loads, nil)
+			r.selector.ReplaceRemoteWork(l.work, nil)
 			delete(r.remoteLoads, name)
 		}
 	}
