Overload control regards priorities and the shares of teams

Cause: each request is compared with its own objective only, so the kind with the tight objective is refused more often, and a hot team displaces others. Change: with Config.CostAware, Admit measures the pressure of each priority. Under pressure, less urgent requests leave room to more urgent ones, teams above their share are held back, some urgent requests start late, and Retry-After orders the callers by urgency. Nothing calls it yet.

--- a/decision/overload/overload.go
+++ b/decision/overload/overload.go
@@ -20,6 +20,9 @@
 	IdleShare float64
 	// MaxRetryAfter is the longest time after which a refused caller should return.
 	MaxRetryAfter time.Duration
+	// CostAware makes Admit and RetryAfter regard the priorities and the teams of
+	// requests.
+	CostAware bool
 }
 
 const (
@@ -51,6 +54,17 @@
 	Held time.Duration
 	// Remaining is the time until the deadline.
 	Remaining time.Duration
+	// Priority is the priority that the endpoint is told; 0 is the most urgent.
+	Priority int
+	// Team is the name of the team. It is empty for requests without a team, which count
+	// as those of one team.
+	Team string
+	// Tokens is the number of prompt tokens to compute.
+	Tokens int
+	// Patience is how long the caller waits for the first event.
+	Patience time.Duration
+	// Repeated is true for all decisions on a request after the first.
+	Repeated bool
 }
 
 // Verdict is what happens to a request.
@@ -68,6 +82,12 @@
 	// RefuseDeadline refuses the request because no endpoint is expected to answer it
 	// before its deadline.
 	RefuseDeadline
+	// RefusePressure refuses the request because the room that is left is needed by more
+	// urgent requests.
+	RefusePressure
+	// RefuseTeamShare refuses the request because its team is above its fair share while
+	// requests find no room.
+	RefuseTeamShare
 )
 
 // String returns the reason of a refusal for logs and metrics.
@@ -81,6 +101,10 @@
 		return "overload"
 	case RefuseDeadline:
 		return "deadline"
+	case RefusePressure:
+		return "pressure"
+	case RefuseTeamShare:
+		return "team_share"
 	}
 	return "unknown"
 }
@@ -91,11 +115,15 @@
 	margins map[string]*margin
 	// nextReturn is when the next refused caller should return.
 	nextReturn time.Duration
+	// levels is keyed by priority. It is empty without Config.CostAware.
+	levels map[int]*level
+	// spreadReturns counts the callers that returnAtLimit has spread.
+	spreadReturns int
 }
 
 // New returns a Controller.
 func New(cfg Config) *Controller {
-	return &Controller{cfg: cfg, margins: map[string]*margin{}}
+	return &Controller{cfg: cfg, margins: map[string]*margin{}, levels: map[int]*level{}}
 }
 
 // Decide returns what happens to the request, whose selected endpoint is expected to
@@ -108,7 +136,7 @@
 	if e.FirstEvent() > r.Remaining {
 		return RefuseDeadline
 	}
-	if e.FirstEvent()+c.margin(r).value <= r.Objective || e.Wait <= share(r.Objective, c.cfg.IdleShare) {
+	if e.FirstEvent()+c.margin(r).value <= r.Objective || c.idle(r, e) {
 		return Start
 	}
 	if r.Held < share(r.Objective, c.cfg.HoldShare) {
@@ -117,11 +145,19 @@
 	return RefuseOverload
 }
 
+// idle reports whether the queue of the endpoint counts as empty.
+func (c *Controller) idle(r Request, e Estimate) bool {
+	return e.Wait <= share(r.Objective, c.cfg.IdleShare)
+}
+
 // RetryAfter returns when the caller of a refused request should return, from now. Each
 // refused request takes a turn after the one before: concurrency is the number of
 // endpoints that this router can count as its own, and a turn is the time in which they
 // compute one prompt.
 func (c *Controller) RetryAfter(now time.Duration, r Request, e Estimate, concurrency float64) time.Duration {
+	if c.cfg.CostAware {
+		return c.retryAfterByUrgency(now, r, e, concurrency)
+	}
 	room := max(0, e.FirstEvent()+c.margin(r).value-r.Objective)
 	c.nextReturn = max(c.nextReturn, now+room)
 	if concurrency > 0 {
