Overload: a known failure beside a hot team in a large burst

Cause: the test of the hot team had only the load at which the target holds. Change: the same with a burst of twice the less urgent kind, as known failure 16; SetCostAware for settings that are read again.

--- a/decision/overload/overload.go
+++ b/decision/overload/overload.go
@@ -126,7 +126,16 @@
 	return &Controller{cfg: cfg, margins: map[string]*margin{}, levels: map[int]*level{}}
 }
 
-// Decide returns what happens to the request, whose selected endpoint is expected to
+// SetCostAware replaces Config.CostAware. What was observed of priorities and teams is dropped
+// when it is switched off.
+func (c *Controller) SetCostAware(on bool) {
+	if c.cfg.CostAware && !on {
+		clear(c.levels)
+	}
+	c.cfg.CostAware = on
+}
+
+// Decide returns what happens to the request by its objective and deadline alone, whose selected endpoint is expected to
 // answer it as estimated.
 func (c *Controller) Decide(r Request, e Estimate) Verdict {
 	if r.Objective <= 0 {
--- a/decision/overload/pressure_test.go
+++ b/decision/overload/pressure_test.go
@@ -308,27 +308,40 @@
 	}
 }
 
-// Guards against a team at seven times its usual rate, at all routers during a burst of the
-// less urgent kind of 1.5 times, that displaces the requests of others. The target is a loss
-// of at most 2 in 100.
-func TestHotTeamDoesNotDisplaceOthers(t *testing.T) {
-	lost := func(seed uint64, costAware bool) (out [2]float64) {
-		load := kindLoad{factors: [2]float64{1, 1.5}}
-		alone := simulateKinds(seed, load, costAware)
-		load.hotTeam = 7
-		with := simulateKinds(seed, load, costAware)
-		for kind := range out {
-			out[kind] = 1 - float64(with.usualServed[kind])/float64(alone.usualServed[kind])
-		}
-		return out
+// hotTeamLoss returns the share of their served requests, by kind, that the other teams lose
+// because one sends seven times its usual rate during a burst of the less urgent kind.
+func hotTeamLoss(seed uint64, burst float64, costAware bool) (out [2]float64) {
+	load := kindLoad{factors: [2]float64{1, burst}}
+	alone := simulateKinds(seed, load, costAware)
+	load.hotTeam = 7
+	with := simulateKinds(seed, load, costAware)
+	for kind := range out {
+		out[kind] = 1 - float64(with.usualServed[kind])/float64(alone.usualServed[kind])
 	}
+	return out
+}
+
+// maxHotTeamLoss is the target of 2 in 100.
+const maxHotTeamLoss = 0.02
+
+// Guards against a hot team that displaces the requests of others, during a burst of 1.5 times
+// the less urgent kind.
+func TestHotTeamDoesNotDisplaceOthers(t *testing.T) {
 	sum := 0.0
 	for seed := range uint64(kindSeeds) {
-		without, with := lost(seed, false), lost(seed, true)
+		without, with := hotTeamLoss(seed, 1.5, false), hotTeamLoss(seed, 1.5, true)
 		sum += max(without[0], without[1])
-		assert.Assert(t, max(with[0], with[1]) <= 0.02, "seed %d: %v lost, without the feature %v", seed, with, without)
+		assert.Assert(t, max(with[0], with[1]) <= maxHotTeamLoss, "seed %d: %v lost, without the feature %v", seed, with, without)
+	}
+	assert.Assert(t, sum/kindSeeds > maxHotTeamLoss, "the load shows no failure: %.3f lost", sum/kindSeeds)
+}
+
+// Guards against the same during a burst of twice the less urgent kind.
+func TestHotTeamInALargerBurst(t *testing.T) {
+	for seed := range uint64(kindSeeds) {
+		with := hotTeamLoss(seed, 2, true)
+		assert.Check(t, max(with[0], with[1]) <= maxHotTeamLoss, "seed %d: %.3f lost", seed, with)
 	}
-	assert.Assert(t, sum/kindSeeds > 0.02, "the load shows no failure: %.3f lost", sum/kindSeeds)
 }
 
 // Guards against a feature that changes decisions without pressure, at the usual load, and
