Relay: admission control regards priority and team with cost_aware

Cause: nothing called the new decisions of overload control. Change: the relay passes priority, team, prompt tokens to compute and the caller's patience; requests of a service without any ready endpoint left are refused at once. Metrics: pressure, refusals by reason and priority, requests held for fairness; the log line of a refusal names pressure and the team's excess. With cost_aware false, the default, decisions are as before.

go test -race of modules/relay, internal/reference and settings passes.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -38,7 +38,7 @@
 	"skipped response to another request": {"request", "address", "connection", "carried", "response_to", "status", "not_run"},
 	"request refused because of overload": {
 		"request", "route", "service", "reason", "endpoint", "wait_ms", "prefill_ms", "margin_ms", "objective_ms", "left_ms",
-		"retry_after_ms",
+		"retry_after_ms", "team", "priority", "pressure", "own_pressure", "team_excess",
 	},
 	"failed to write response to caller":   {"request", "error"},
 	"failed to flush events to caller":     {"request", "error"},
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -156,6 +156,13 @@
 	headerSent bool
 	// lastEventID is the ID of the last event that the caller has received.
 	lastEventID string
+	// admission is the last decision of overload control, or zero if there was none.
+	admission overload.Decision
+	// delayedForFairness is true after the request was held because of its team's share.
+	delayedForFairness bool
+	// noEndpointLeft means that the service has no ready endpoint that was not tried, so
+	// that waiting for one is useless.
+	noEndpointLeft bool
 	// softwareVersions are the versions that may run the request, in order of preference.
 	// It is nil if all may.
 	softwareVersions []string
@@ -384,7 +391,7 @@
 	for ctx.Err() == nil && !x.cannotEndInTime() {
 		held := time.Since(waitingSince)
 		c, verdict := x.selectEndpoint(held)
-		if verdict != overload.Wait || held+c.ThrottledFor > limit || x.condemned {
+		if verdict != overload.Wait || held+c.ThrottledFor > limit || x.condemned || x.noEndpointLeft {
 			return c, verdict
 		}
 		wait.For(ctx, selectPollInterval)
@@ -420,11 +427,12 @@
 		c, ok = r.selector.Select(r.now(), time.Now(), v, request)
 	}
 	if !ok {
+		x.noEndpointLeft = r.CostAware && x.mayHaveRunCount == 0 && x.req.LastEventID == "" && !anyEndpointLeft(v, x.req.Service, x.excluded)
 		return c, overload.Wait
 	}
 	verdict := overload.Start
 	if x.overloadControlled() {
-		verdict = r.overloadControllerLocked(x.req.Service).Decide(x.overloadRequest(held), estimateOf(c))
+		verdict = x.admitLocked(held, c)
 	}
 	if verdict == overload.Start {
 		if x.condemned = !x.beginLocked(); x.condemned {
--- a/modules/relay/metrics.go
+++ b/modules/relay/metrics.go
@@ -11,6 +11,8 @@
 	expectedCachedTokens   prometheus.Counter
 	expectedComputedTokens prometheus.Counter
 	partChanges            *prometheus.CounterVec
+	overloadRefusals       *prometheus.CounterVec
+	fairnessDelays         *prometheus.CounterVec
 }
 
 func (m *metrics) register(r prometheus.Registerer) {
@@ -39,5 +41,12 @@
 	m.partChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "arbutus_prompt_part_changes_total", Help: "Prompt parts that were condemned for crashes of engines or cleared, by kind of change.",
 	}, []string{"change"})
+	m.overloadRefusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_overload_refusals_total", Help: "Requests that overload control refused, by reason and priority; 0 is the most urgent.",
+	}, []string{"reason", "priority"})
+	m.fairnessDelays = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_overload_fairness_delays_total", Help: "Requests that were held because their team is above its fair share, by priority.",
+	}, []string{"priority"})
+	r.MustRegister(m.overloadRefusals, m.fairnessDelays)
 	r.MustRegister(m.partChanges, m.requests, m.retries, m.retriesDenied, m.refusals, m.firstResponseSeconds, m.expectedCachedTokens, m.expectedComputedTokens)
 }
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -63,6 +63,9 @@
 	// which no request begins on an older one, even if no engine has loaded the new
 	// one, unless no router reaches the store. Default 8s.
 	WeightsDeadline settings.Duration `json:"weights_deadline"`
+	// CostAware enables learned request costs in endpoint selection and admission
+	// control. Default false.
+	CostAware bool `json:"cost_aware"`
 
 	log       *logrus.Entry
 	directory *directory.Directory
@@ -151,6 +154,7 @@
 		return err
 	}
 	r.metrics.register(a.Registry())
+	a.Registry().MustRegister(pressureCollector{r})
 	r.zone, r.routerID = n.Zone, n.ID
 	r.selector = selection.New(selection.Config{
 		PrefillTokensPerMS: r.PrefillTokensPerMS, FetchTokensPerMS: fetchTokensPerMS, RecomputeFactor: recomputeFactor,
@@ -204,12 +208,13 @@
 	return nil
 }
 
-// Reload applies the retry budget and the limits for old weights.
+// Reload applies the retry budget, the limits for old weights and CostAware.
 func (r *Relay) Reload(next arbutusline.Module) {
 	n := next.(*Relay)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.RetryRatio, r.RetrySlack, r.OldWeightsLimit, r.WeightsDeadline = n.RetryRatio, n.RetrySlack, n.OldWeightsLimit, n.WeightsDeadline
+	r.CostAware = n.CostAware
 	r.selector.SetWeightsLimits(r.OldWeightsLimit.AsDuration(), r.WeightsDeadline.AsDuration())
 }
 
