--- a/modules/relay/costs.go
+++ b/modules/relay/costs.go
@@ -44,7 +44,7 @@
 // the configuration has a route to the service whose objective leaves room for them. The
 // caller holds mu.
 func (r *Relay) costAwareLocked(service string) bool {
-	config := r.directory.View().Config
+	config := r.configuration()
 	return r.CostAware && config != nil && config.HasSlack(service)
 }
 
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -159,6 +159,13 @@
 	// gapObjective and outputTokens are those of selection.Request.
 	gapObjective time.Duration
 	outputTokens int
+	// admission is the last decision of overload control, or zero if there was none.
+	admission overload.Decision
+	// delayedForFairness is true after the request was held because of its team's share.
+	delayedForFairness bool
+	// noEndpointLeft means that the service has no ready endpoint that was not tried, so
+	// that waiting for one is useless.
+	noEndpointLeft bool
 	// softwareVersions are the versions that may run the request, in order of preference.
 	// It is nil if all may.
 	softwareVersions []string
@@ -388,7 +395,7 @@
 	for ctx.Err() == nil && !x.cannotEndInTime() {
 		held := time.Since(waitingSince)
 		c, verdict := x.selectEndpoint(held)
-		if verdict != overload.Wait || held+c.ThrottledFor > limit || x.condemned {
+		if verdict != overload.Wait || held+c.ThrottledFor > limit || x.condemned || x.noEndpointLeft {
 			return c, verdict
 		}
 		wait.For(ctx, selectPollInterval)
@@ -424,11 +431,12 @@
 		c, ok = r.selector.Select(r.now(), time.Now(), v, request)
 	}
 	if !ok {
+		x.noEndpointLeft = r.costAwareLocked(x.req.Service) && x.mayHaveRunCount == 0 && x.req.LastEventID == "" && !anyEndpointLeft(v, x.req.Service, x.excluded)
 		return c, overload.Wait
 	}
 	verdict := overload.Start
 	if x.overloadControlled() {
-		verdict = r.overloadControllerLocked(x.req.Service).Decide(x.overloadRequest(held), estimateOf(c))
+		verdict = x.admitLocked(held, c)
 	}
 	if verdict == overload.Start {
 		if x.condemned = !x.beginLocked(); x.condemned {
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -65,16 +65,20 @@
 	// which no request begins on an older one, even if no engine has loaded the new
 	// one, unless no router reaches the store. Default 8s.
 	WeightsDeadline settings.Duration `json:"weights_deadline"`
-	// CostAware lets the router learn what requests cost and how fast endpoints are, and
-	// exchange the speeds with other routers. Default false.
+	// CostAware lets the router learn what requests cost and how fast endpoints are, exchange
+	// the speeds with other routers, and use both in endpoint selection and admission control, for
+	// services with a stream route whose latency objective exceeds twice its gap objective.
+	// Default false.
 	CostAware bool `json:"cost_aware"`
 
 	log       *logrus.Entry
 	directory *directory.Directory
-	upstream  *upstream.Client
-	versions  *streamversions.StreamVersions
-	zone      string
-	routerID  string
+	// configuration returns the active configuration, or nil if there is none yet.
+	configuration func() *fleet.Configuration
+	upstream      *upstream.Client
+	versions      *streamversions.StreamVersions
+	zone          string
+	routerID      string
 	// clockOrigin is the origin of the times that now returns.
 	clockOrigin time.Time
 	ctx         context.Context
@@ -164,6 +168,7 @@
 	r.setCostAwareLocked(r.CostAware)
 	r.metrics.register(a.Registry())
 	a.Registry().MustRegister(newCostCollector(r))
+	a.Registry().MustRegister(pressureCollector{r})
 	r.zone, r.routerID = n.Zone, n.ID
 	r.selector = selection.New(selection.Config{
 		PrefillTokensPerMS: r.PrefillTokensPerMS, FetchTokensPerMS: fetchTokensPerMS, RecomputeFactor: recomputeFactor,
@@ -173,6 +178,7 @@
 		ServiceTime: serviceTime, HolderLifetime: holderLifetime, MaxParts: maxParts,
 		CostAware: r.CostAware, Seed: xxhash.Sum64String(r.routerID),
 	}, r.zone)
+	r.configuration = func() *fleet.Configuration { return r.directory.View().Config }
 	r.directory.Subscribe(r.onViewChange)
 	return nil
 }
