Bound what a router holds for callers, per process and team

Bodies of requests, complete responses that wait for their callers and what each request needs besides were bounded per request only: one team whose callers read or send nothing took the memory of the process. A pool 'callers' now accounts for them by team, requests are refused before they run when the team holds as much as it leaves free, and the pool for responses has the same share. A caller that reads or sends nothing for as long as its request may take is cut off; before, a blocked write lasted for ever and kept its place at the endpoint. The head of a request to an endpoint no longer takes the memory of its body a second time.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -58,8 +58,14 @@
 	"cache namespace of shared parts changed":     {"configuration", "namespace"},
 
 	// Memory.
-	"memory bounded": {"soft_limit_bytes", "endpoints_bytes", "control_bytes"},
-	"response given up because memory for responses is short": {"pool", "held", "wanted", "used"},
+	"memory bounded": {"soft_limit_bytes", "endpoints_bytes", "control_bytes", "callers_bytes"},
+	"response given up because memory for responses is short": {"pool", "held", "wanted", "used", "team", "team_held", "team_share"},
+	"request refused because memory for callers is short": {
+		"request", "reason", "pool", "team", "team_held", "wanted", "used", "limit", "largest_team", "largest_held", "retry_after_ms",
+	},
+	"connection closed because the caller reads nothing": {"request", "address", "limit_ms", "unsent"},
+	"failed to bound the rest of a refused body":         {"request", "error"},
+	"failed to bound send buffer of caller":              {"error"},
 
 	// Limits that endpoints state.
 	"endpoint request limit changed":                  {"endpoint", "limit", "before", "routers", "source"},
--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -19,10 +18,12 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/arbutusline/arbutusline"
+	"github.com/arbutusline/arbutusline/decision/bytebudget"
 	"github.com/arbutusline/arbutusline/fleet"
 	"github.com/arbutusline/arbutusline/internal/wait"
 	"github.com/arbutusline/arbutusline/modules/admin"
 	"github.com/arbutusline/arbutusline/modules/directory"
+	"github.com/arbutusline/arbutusline/modules/memory"
 	"github.com/arbutusline/arbutusline/modules/relay"
 	"github.com/arbutusline/arbutusline/platform"
 	"github.com/arbutusline/arbutusline/settings"
@@ -80,11 +81,16 @@
 	admin     *admin.Admin
 	directory *directory.Directory
 	relay     *relay.Relay
-	server    *http.Server
-	stopping  atomic.Bool
-	sampler   sampler
-	refusals  *prometheus.CounterVec
-	inFlight  prometheus.Gauge
+	// callers is the memory for what is held for callers, and responses that for responses of
+	// endpoints.
+	callers, responses *bytebudget.Pool
+	sizes              responseSizes
+	server             *http.Server
+	stopping           atomic.Bool
+	sampler            sampler
+	refusals           *prometheus.CounterVec
+	inFlight           prometheus.Gauge
+	stalled            *prometheus.CounterVec
 }
 
 // ModuleName returns "ingress".
@@ -109,7 +115,15 @@
 	g.inFlight = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "arbutus_ingress_requests_in_flight", Help: "Requests that are being served.",
 	})
-	g.admin.Registry().MustRegister(g.refusals, g.inFlight)
+	g.stalled = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_ingress_callers_stalled_total", Help: "Connections closed because the caller read or sent nothing for too long, by direction.",
+	}, []string{"direction"})
+	g.admin.Registry().MustRegister(g.refusals, g.inFlight, g.stalled)
+	m, err := arbutusline.Lookup[*memory.Memory](k, memory.Name)
+	if err != nil {
+		return err
+	}
+	g.callers, g.responses = m.Callers(), m.Endpoints()
 	return nil
 }
 
@@ -138,8 +152,9 @@
 		MaxHeaderBytes: serverMaxHeaderBytes, ErrorLog: nil, ConnContext: withConnection,
 	}
 	g.log.WithField("address", listener.Addr().String()).Info("serving callers")
+	callers := &callerListener{Listener: listener, log: g.log, onStall: g.observeStall}
 	go func() {
-		if err := g.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := g.server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
 			g.log.WithError(err).Error("server for callers failed")
 		}
 	}()
@@ -177,12 +192,15 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	req, refused := g.newRequest(w, r, arrivedAt)
+	var held holding
+	defer held.release()
+	req, refused := g.newRequest(w, r, arrivedAt, &held)
 	if refused != nil {
 		g.refuse(w, r, refused)
 		return
 	}
 	report := g.relay.Run(r.Context(), w, req)
+	g.sizes.observe(req.Route.Name, report.ResponseBytes)
 	g.logReport(req, report)
 	if report.Incomplete {
 		g.abort(w, r)
@@ -205,8 +223,8 @@
 	if err != nil {
 		return err
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		err = tcp.SetLinger(0)
+	if c, ok := conn.(*callerConn); ok {
+		err = c.SetLinger(0)
 	}
 	return errors.CombineErrors(err, conn.Close())
 }
@@ -219,12 +237,19 @@
 }
 
 // newRequest reads the request and checks it against the active configuration.
-func (g *Ingress) newRequest(w http.ResponseWriter, r *http.Request, arrivedAt time.Time) (*relay.Request, *refusal) {
+func (g *Ingress) newRequest(w http.ResponseWriter, r *http.Request, arrivedAt time.Time, held *holding) (*relay.Request, *refusal) {
 	config := g.waitForConfiguration(r.Context())
 	if config == nil {
 		return nil, &refusal{http.StatusServiceUnavailable, "no_configuration", noConfigurationRetryAfter}
 	}
-	body, refused := readBody(w, r, config.Limits)
+	conn, _ := r.Context().Value(connectionKey{}).(*callerConn)
+	if conn != nil {
+		conn.begin(r.Header.Get(platform.HeaderRequestID), stallLimit(r.Header, nil))
+	}
+	if refused := g.hold(r, config, held); refused != nil {
+		return nil, refused
+	}
+	body, refused := g.readBody(w, r, config.Limits, held)
 	if refused != nil {
 		return nil, refused
 	}
@@ -245,6 +270,10 @@
 		ConfigurationVersion: config.Version, LastEventID: r.Header.Get(platform.HeaderLastEventID), Resumes: r.Header.Get(platform.HeaderResumes),
 		CallerLeft: callerLeft(r.Context()),
 	}
+	if conn != nil {
+		req.CallerStalled = conn.stalled.Load
+		conn.begin(req.ID, stallLimit(r.Header, route))
+	}
 	return req, decodeHeaders(req, r.Header)
 }
 
@@ -313,38 +342,6 @@
 	return route, team, nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limits fleet.Limits) ([]byte, *refusal) {
-	if limits.MaxHeaderBytes > 0 && headerSize(r) > limits.MaxHeaderBytes {
-		return nil, &refusal{http.StatusRequestHeaderFieldsTooLarge, "header_too_large", 0}
-	}
-	limit := limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &refusal{http.StatusRequestEntityTooLarge, "body_too_large", 0}
-	case err != nil:
-		return nil, &refusal{http.StatusBadRequest, "body_incomplete", 0}
-	}
-	return body, nil
-}
-
-// readAll reads a body. If its length is known, it allocates a buffer of that length.
-func readAll(r io.Reader, length, limit int64) ([]byte, error) {
-	if length <= 0 || length > limit {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
 func headerSize(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
@@ -369,6 +366,7 @@
 	g.log.WithFields(g.directory.Standing().Fields()).WithFields(logrus.Fields{
 		"request": id, "host": r.Host, "path": r.URL.Path, "status": refused.status, "reason": refused.reason,
 	}).Warn("request refused")
+	g.boundDiscard(w, r)
 	h := w.Header()
 	if id != "" {
 		h.Set(platform.HeaderRequestID, id)
--- a/modules/memory/memory.go
+++ b/modules/memory/memory.go
@@ -1,5 +1,6 @@
 // Package memory is the module "memory": it bounds the memory that responses of endpoints, the
-// store and other routers may take together, and tells the runtime the process's limit.
+// store and other routers may take together, and what is held for callers, and tells the runtime
+// the process's limit.
 package memory
 
 import (
@@ -39,6 +40,14 @@
 	// controlShare is the part of the memory for responses that only the store and other routers
 	// may use, so that no endpoint keeps a router from learning of changes.
 	controlShare = 1.0 / 3
+	// callerShare is the share of the process's memory that is the default of CallerBytes, and
+	// maxCallerShare the largest one. With the memory for responses half is left by default, for
+	// the same reasons as above.
+	callerShare    = 0.25
+	maxCallerShare = 0.5
+	// minCallerBytes is the least memory for callers: two bodies of 1 MiB of one team beside as
+	// much that stays free.
+	minCallerBytes = 4 << 20
 	// softLimitShare is the share of the process's memory from which the runtime collects
 	// garbage more often.
 	softLimitShare = 0.75
@@ -57,10 +66,16 @@
 	// ProcessBytes is the memory that the process may use, in bytes. Default 0: the least of
 	// the host's memory and the limits of the control group and the process.
 	ProcessBytes int64 `json:"process_bytes"`
+	// CallerBytes bounds the memory that is held for callers, in bytes: bodies of requests, what
+	// each request needs until its caller has the response, and the responses that are expected.
+	// A team may hold as much as it leaves free, which is half if it is alone. At most half of the
+	// process's memory. Default 0: a quarter of the process's memory.
+	CallerBytes int64 `json:"caller_bytes"`
 
 	log                *logrus.Entry
 	softLimit          int64
 	endpoints, control *bytebudget.Pool
+	callers            *bytebudget.Pool
 	denied             *prometheus.CounterVec
 
 	mu          sync.Mutex
@@ -87,6 +102,16 @@
 	m.softLimit = int64(softLimitShare * float64(process))
 	m.endpoints = m.newPool(a, "endpoints", responses-controlBytes)
 	m.control = m.newPool(a, "control", controlBytes)
+	// The module "ingress" logs and counts the requests that it refuses.
+	m.callers = bytebudget.New(m.callerBytes(process), nil)
+	a.Registry().MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "arbutus_memory_caller_bytes", Help: "Memory that is held for callers.",
+		}, func() float64 { return float64(m.callers.Used()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "arbutus_memory_caller_limit_bytes", Help: "Memory that may be held for callers.",
+		}, func() float64 { return float64(m.callers.Capacity()) }),
+		largestTeamGauge("callers", m.callers), largestTeamGauge("endpoints", m.endpoints))
 	return nil
 }
 
@@ -101,6 +126,25 @@
 	return process, responses
 }
 
+// callerBytes returns the memory for callers.
+func (m *Memory) callerBytes(process int64) int64 {
+	if m.CallerBytes != 0 {
+		return m.CallerBytes
+	}
+	return int64(callerShare * float64(process))
+}
+
+// largestTeamGauge returns a metric without a label for the team, whose number is not bounded.
+func largestTeamGauge(name string, p *bytebudget.Pool) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "arbutus_memory_largest_team_bytes", Help: "Memory that the team with most of it holds, by pool.",
+		ConstLabels: prometheus.Labels{"pool": name},
+	}, func() float64 {
+		_, held := p.LargestTeam()
+		return float64(held)
+	})
+}
+
 func (m *Memory) newPool(a *admin.Admin, name string, capacity int64) *bytebudget.Pool {
 	p := bytebudget.New(capacity, func(d bytebudget.Denial) { m.observeDenial(name, d) })
 	labels := prometheus.Labels{"pool": name}
@@ -118,12 +162,16 @@
 func (m *Memory) Validate() error {
 	process, responses := m.limits()
 	switch {
-	case m.ResponseBytes < 0 || m.ProcessBytes < 0:
-		return errors.New("response_bytes and process_bytes must not be negative")
+	case m.ResponseBytes < 0 || m.ProcessBytes < 0 || m.CallerBytes < 0:
+		return errors.New("response_bytes, caller_bytes and process_bytes must not be negative")
 	case responses < minResponseBytes:
 		return errors.Newf("memory for responses is %d bytes; %d are needed", responses, int64(minResponseBytes))
 	case responses > maxResponseBytes(process):
 		return errors.Newf("response_bytes is %d, more than a quarter of the %d bytes that the process may use", responses, process)
+	case m.callerBytes(process) < minCallerBytes:
+		return errors.Newf("memory for callers is %d bytes; %d are needed", m.callerBytes(process), int64(minCallerBytes))
+	case m.callerBytes(process) > int64(maxCallerShare*float64(process)):
+		return errors.Newf("caller_bytes is %d, more than half of the %d bytes that the process may use", m.CallerBytes, process)
 	}
 	return nil
 }
@@ -137,6 +185,7 @@
 	}
 	m.log.WithFields(logrus.Fields{
 		"soft_limit_bytes": softLimit, "endpoints_bytes": m.endpoints.Capacity(), "control_bytes": m.control.Capacity(),
+		"callers_bytes": m.callers.Capacity(),
 	}).Info("memory bounded")
 	return nil
 }
@@ -144,6 +193,21 @@
 // Endpoints returns the memory for what endpoints send.
 func (m *Memory) Endpoints() *bytebudget.Pool { return m.endpoints }
 
+// Callers returns the memory for what is held for callers.
+func (m *Memory) Callers() *bytebudget.Pool { return m.callers }
+
+// TeamAccount returns the name under which the pools account for a team. Callers without a team
+// share one account.
+func TeamAccount(team string) string {
+	if team == "" {
+		return noTeam
+	}
+	return team
+}
+
+// noTeam is the account of callers without a team.
+const noTeam = "-"
+
 // Control returns the memory for what the store and other routers send.
 func (m *Memory) Control() *bytebudget.Pool { return m.control }
 
@@ -156,7 +220,9 @@
 	}
 	m.mu.Unlock()
 	if write {
-		m.log.WithFields(logrus.Fields{"pool": pool, "held": d.Held, "wanted": d.Wanted, "used": d.Used}).Warn("response given up because memory for responses is short")
+		m.log.WithFields(logrus.Fields{
+			"pool": pool, "held": d.Held, "wanted": d.Wanted, "used": d.Used, "team": d.Team, "team_held": d.TeamHeld, "team_share": d.TeamShare,
+		}).Warn("response given up because memory for responses is short")
 	}
 }
 
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -17,6 +17,7 @@
 	"github.com/arbutusline/arbutusline/fleet"
 	"github.com/arbutusline/arbutusline/internal/content"
 	"github.com/arbutusline/arbutusline/internal/wait"
+	"github.com/arbutusline/arbutusline/modules/memory"
 	"github.com/arbutusline/arbutusline/modules/upstream"
 	"github.com/arbutusline/arbutusline/platform"
 )
@@ -163,6 +164,9 @@
 	recordVersion bool
 }
 
+// ReasonCallerStalled is the reason of requests whose callers did not read their responses.
+const ReasonCallerStalled = "caller_stalled"
+
 // Run runs the request and responds to the caller. It returns when the response is
 // complete or cannot be completed.
 func (r *Relay) Run(ctx context.Context, w http.ResponseWriter, req *Request) Report {
@@ -175,6 +179,9 @@
 	defer r.endAtStop(end)()
 	x.runAttempts(ctx)
 	x.lastResult.body.Release()
+	if req.CallerStalled != nil && req.CallerStalled() {
+		x.report.Outcome, x.report.Reason, x.report.Incomplete = OutcomeCallerDisconnected, ReasonCallerStalled, true
+	}
 	r.metrics.requests.WithLabelValues(routeKindLabel(req.Route), string(x.report.Outcome)).Inc()
 	return x.report
 }
@@ -234,6 +241,10 @@
 		x.lastResult.body.Release()
 		x.lastResult = x.runAttempt(ctx, choice)
 		if x.lastResult.kind == resultDone || x.lastResult.kind == resultCallerDisconnected {
+			if x.lastResult.body != nil {
+				// Only now, so that a caller that reads slowly takes up no capacity of the endpoint.
+				x.forwardResponse(x.lastResult)
+			}
 			x.setOutcome()
 			return
 		}
@@ -471,7 +482,7 @@
 	r := &upstream.Request{
 		Method: x.req.Method, URI: x.req.URI, Host: x.req.Host, Body: x.req.Body,
 		Header: platform.ForwardedRequestHeader(x.req.Header, x.routerHeaderValues(c)), ID: x.req.ID,
-		Abandoned: x.req.CallerLeft,
+		Abandoned: x.req.CallerLeft, Team: memory.TeamAccount(x.req.teamName()),
 	}
 	if !x.req.Route.Repeatable() {
 		r.MaxIdleTime = maxIdleTimeNonRepeatable
--- a/modules/relay/job.go
+++ b/modules/relay/job.go
@@ -28,6 +28,9 @@
 	// CallerLeft reports whether the caller has closed its connection, which the request's
 	// context tells later. nil means that only the context tells.
 	CallerLeft func() bool
+	// CallerStalled reports whether the connection was closed because the caller read nothing for
+	// too long. It may be nil.
+	CallerStalled func() bool
 	// Deadline is when the caller stops waiting or the route's timeout ends,
 	// whichever is earlier.
 	Deadline time.Time
@@ -140,6 +143,9 @@
 	// TimeToFirstResponse is the time from arrival to the response or the first event
 	// of a stream, or 0 if there was none.
 	TimeToFirstResponse time.Duration
+	// ResponseBytes is the length of the response's body, or 0 for streams and requests without a
+	// response of an endpoint.
+	ResponseBytes int
 	// Incomplete means that the caller's connection must be closed because the
 	// response cannot be completed.
 	Incomplete bool
--- a/modules/relay/respond.go
+++ b/modules/relay/respond.go
@@ -85,7 +85,13 @@
 	x.copyResponseHeader(res.header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(res.body.Len()))
 	x.w.WriteHeader(res.status)
-	if _, err := res.body.WriteTo(x.w); err != nil {
+	x.report.ResponseBytes = res.body.Len()
+	_, err := res.body.WriteTo(x.w)
+	if err == nil {
+		// The rest must not stay in buffers of a request that is no longer accounted for.
+		err = http.NewResponseController(x.w).Flush()
+	}
+	if err != nil {
 		x.log().WithError(err).Info("failed to write response to caller")
 	}
 }
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +44,9 @@
 	// silenceTimer calls onSilence. It is nil if the attempt has no time limit of
 	// its own.
 	silenceTimer *time.Timer
+	// writing is true while events are written to the caller, who may read slowly. The endpoint is
+	// not read meanwhile, so that its silence means nothing.
+	writing      atomic.Bool
 	startedAt    time.Time
 	connection   upstream.ConnectionInfo
 	headReceived bool
@@ -143,6 +147,10 @@
 // onSilence ends an attempt whose endpoint sent nothing for too long, if the retry
 // budget allows another attempt.
 func (a *attempt) onSilence() {
+	if a.writing.Load() {
+		a.silenceTimer.Reset(maxEventGap)
+		return
+	}
 	if a.relay.allowRetry(a.req.Service) {
 		a.cancel(errResponseTimeout)
 	}
@@ -206,8 +214,8 @@
 	return response.Status == http.StatusMisdirectedRequest && endpointID != "" && endpointID != a.choice.Endpoint.ID
 }
 
-// forwardBuffered forwards a response after reading it completely, so that the request
-// can still be retried if the response is incomplete.
+// forwardBuffered reads a response completely, so that the request can still be retried if
+// the response is incomplete. The caller gets it after the attempt has ended.
 func (a *attempt) forwardBuffered(ctx context.Context, response *upstream.Response) result {
 	if httpstatus.PromisesNotRun(response.Status) {
 		a.recordPrefillEnded(false)
@@ -226,7 +234,6 @@
 	}
 	a.report.TimeToFirstResponse = time.Since(a.req.ArrivedAt)
 	a.relay.metrics.firstResponseSeconds.WithLabelValues(routeKindLabel(a.req.Route)).Observe(a.report.TimeToFirstResponse.Seconds())
-	a.forwardResponse(res)
 	return res
 }
 
@@ -249,16 +256,32 @@
 		}
 		a.fixSoftwareVersion()
 		a.sendHeader(response)
-		if _, err := a.w.Write(event.Raw); err != nil {
+		if err := a.writeEvent(event, scanner); err != nil {
 			return result{kind: resultCallerDisconnected, err: err}
 		}
-		if event.ID != "" {
-			a.lastEventID = event.ID
-		}
-		if !scanner.HasBufferedEvent() {
-			a.flush()
+	}
+}
+
+// writeEvent writes an event to the caller and flushes it unless another one follows at once. The
+// silence timer starts again afterwards, because the endpoint was not read meanwhile.
+func (a *attempt) writeEvent(event sse.Event, scanner *sse.Scanner) error {
+	a.writing.Store(true)
+	defer func() {
+		a.writing.Store(false)
+		if a.silenceTimer != nil && a.eventCount > 0 {
+			a.silenceTimer.Reset(maxEventGap)
 		}
+	}()
+	if _, err := a.w.Write(event.Raw); err != nil {
+		return err
+	}
+	if event.ID != "" {
+		a.lastEventID = event.ID
+	}
+	if !scanner.HasBufferedEvent() {
+		a.flush()
 	}
+	return nil
 }
 
 func (a *attempt) finishStream(scanner *sse.Scanner, response *upstream.Response) result {
--- a/modules/upstream/conn.go
+++ b/modules/upstream/conn.go
@@ -140,9 +140,9 @@
 
 // newLease returns a lease of memory for the response to the current request. The connection is
 // closed if the response must be given up.
-func (cn *conn) newLease() *bytebudget.Lease {
+func (cn *conn) newLease(team string) *bytebudget.Lease {
 	end := cn.end
-	return cn.client.memory.NewLease(func() { end(bytebudget.ErrExhausted) })
+	return cn.client.memory.NewTeamLease(team, func() { end(bytebudget.ErrExhausted) })
 }
 
 // explain adds to the error of a connection that it was closed because memory is short.
@@ -203,7 +203,7 @@
 	} else {
 		go cn.writeRequest(head, r.Body)
 	}
-	lease := cn.newLease()
+	lease := cn.newLease(r.Team)
 	for range maxMismatchedResponses {
 		response, err := cn.readNext(r, lease)
 		if response != nil {
@@ -213,7 +213,7 @@
 		if err != nil {
 			return nil, err
 		}
-		lease = cn.newLease()
+		lease = cn.newLease(r.Team)
 	}
 	return nil, errors.New("received only responses to other requests")
 }
@@ -361,7 +361,11 @@
 // encodeHead returns the request line and the headers.
 func (r *Request) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	size := 1024
+	if len(r.Body) < minConcurrentWriteBytes {
+		size += len(r.Body) // roundTrip appends the body.
+	}
+	b.Grow(size)
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -204,6 +204,9 @@
 	// Abandoned reports whether the request was given up meanwhile. Do calls it last before
 	// it sends the request. nil means that only the context tells.
 	Abandoned func() bool
+	// Team is the account to whose share of the memory for responses the response counts, or ""
+	// if there is none.
+	Team string
 	// SentAt is when Do began to send the request. Do sets it; it stays zero if no
 	// connection was available.
 	SentAt time.Time
