--- a/cmd/arbutus-front/cluster_test.go
+++ b/cmd/arbutus-front/cluster_test.go
@@ -18,6 +18,7 @@
 	"github.com/arbutusline/arbutusline"
 	"github.com/arbutusline/arbutusline/fleet"
 	"github.com/arbutusline/arbutusline/modules/directory"
+	"github.com/arbutusline/arbutusline/modules/relay"
 	"github.com/arbutusline/arbutusline/settings"
 	"github.com/arbutusline/arbutusline/standin/platform"
 )
@@ -36,6 +37,8 @@
 	eraWait string
 	// directorySettings are further settings of the module directory in JSON, or empty.
 	directorySettings string
+	// memorySettings are the settings of the module memory in JSON, or empty.
+	memorySettings string
 	// linger is how long a router that stops still accepts connections.
 	linger string
 	// modules are those of the routers.
@@ -116,8 +119,9 @@
 		"directory": {"store": %q, "advertise": "%s:%s", "era_wait": %q%s},
 		"upgrade": {"holder": %q, "turn_pause": "300ms"},
 		"relay": {%s},
+		"memory": {%s},
 		"ingress": {"listen": "%s:%s", "linger": %q, "start_wait": "30s"}
-	}`, routerNumber, r.ip, ports[1], r.ip, ports[2], storeAddress, r.ip, ports[2], c.eraWait, c.directorySettings, r.ip, c.relaySettings, r.ip, ports[0], c.linger)
+	}`, routerNumber, r.ip, ports[1], r.ip, ports[2], storeAddress, r.ip, ports[2], c.eraWait, c.directorySettings, r.ip, c.relaySettings, c.memorySettings, r.ip, ports[0], c.linger)
 	file, err := settings.Parse([]byte(text))
 	assert.NilError(c.t, err)
 	log := logrus.New()
@@ -139,6 +143,15 @@
 	return d.View()
 }
 
+// relay returns the router's module relay.
+func (r *testRouter) relay() *relay.Relay {
+	m, err := arbutusline.Lookup[*relay.Relay](r.kernel, relay.Name)
+	if err != nil {
+		panic(err) // The module is always loaded.
+	}
+	return m
+}
+
 func (r *testRouter) stop(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
--- a/decision/bytebudget/bytebudget.go
+++ b/decision/bytebudget/bytebudget.go
@@ -5,9 +5,9 @@
 // switches that push out from their longest queue: short responses, such as sound answers beside
 // bytes without end, always find room. A response that has arrived completely stays.
 //
-// A team may hold as much as it leaves free, as with the dynamic thresholds of shared-memory
-// switches (Choudhury and Hahne, 1998): half of the pool if it is alone, and a third if another
-// team holds as much. k teams that hold all they may leave one part in k+1 to the others.
+// A team may take more only while at least as much as it then holds stays free, as with the dynamic
+// thresholds of shared-memory switches (Choudhury and Hahne, 1998): half of the pool if it is alone.
+// Teams that take all they may one after the other each leave half of what was free.
 package bytebudget
 
 import (
--- a/modules/memory/memory_test.go
+++ b/modules/memory/memory_test.go
@@ -55,6 +55,28 @@
 	}
 }
 
+// Guards against memory for callers that does not fit into the process.
+func TestMemoryForCallersFitsIntoTheProcess(t *testing.T) {
+	for _, c := range []struct {
+		text, problem string
+		callers       int64
+	}{
+		{`{"process_bytes": 134000000}`, "", 33500000},
+		{`{"process_bytes": 134000000, "caller_bytes": 5000000}`, "", 5000000},
+		{`{"process_bytes": 134000000, "caller_bytes": 67000001}`, "more than half of the 134000000 bytes", 0},
+		{`{"process_bytes": 134000000, "caller_bytes": 1000}`, "1000 bytes; 4194304 are needed", 0},
+		{`{"caller_bytes": -1}`, "must not be negative", 0},
+	} {
+		m, err := load(t, c.text)
+		if c.problem != "" {
+			assert.ErrorContains(t, err, c.problem, c.text)
+			continue
+		}
+		assert.NilError(t, err, c.text)
+		assert.Equal(t, m.Callers().Capacity(), c.callers, c.text)
+	}
+}
+
 // Guards against a process that does not see its limit, and against a runtime that lets garbage
 // grow past it.
 func TestRuntimeKnowsTheLimit(t *testing.T) {
