--- a/cmd/arbutus-front/slowcallers_test.go
+++ b/cmd/arbutus-front/slowcallers_test.go
@@ -173,7 +173,13 @@
 			waiting[id] = s
 			continue
 		}
-		go func() { answered <- s.status() }()
+		go func() {
+			line, err := s.reader.ReadString('\n') // An error shows as a refusal that is none.
+			if _, status, ok := strings.Cut(line, " "); err == nil && ok {
+				n, _ := strconv.Atoi(strings.Fields(status)[0])
+				answered <- n
+			}
+		}()
 		held := func() bool { return m.Callers().Held("open") > before }
 		c.eventually("the body is expected or refused", func() bool { return held() || len(answered) > 0 })
 		if held() {
--- a/decision/bytebudget/bytebudget.go
+++ b/decision/bytebudget/bytebudget.go
@@ -7,7 +7,9 @@
 //
 // A team may take more only while at least as much as it then holds stays free, as with the dynamic
 // thresholds of shared-memory switches (Choudhury and Hahne, 1998): half of the pool if it is alone.
-// Teams that take all they may one after the other each leave half of what was free.
+// Teams that take all they may one after the other each leave half of what was free. A team that holds
+// nothing else may take more than its share for one request or response, which could never find room
+// otherwise.
 package bytebudget
 
 import (
@@ -126,7 +128,7 @@
 	if a := p.accounts[p.accountName(team)]; a != nil {
 		settled = a.settled
 	}
-	return settled+bytes <= p.capacity-p.settled-bytes
+	return settled == 0 || settled+bytes <= p.capacity-p.settled-bytes
 }
 
 // NewTeamLease returns a lease like NewLease whose bytes count toward the share of a team. An
@@ -213,7 +215,7 @@
 		victims, denials = append(victims, largest.onRevoke), append(denials, d)
 		return true
 	}
-	if held, leaving := p.heldLocked(l.team); !p.withinShareLocked(held-leaving, wanted) && l.team != "" && !makeRoom(l.team) {
+	if held, leaving := p.heldLocked(l.team); l.team != "" && held != l.held && !p.withinShareLocked(held-leaving, wanted) && !makeRoom(l.team) {
 		return deny(true)
 	}
 	if !p.fitsLocked(wanted) && !makeRoom("") {
--- a/decision/bytebudget/teams_test.go
+++ b/decision/bytebudget/teams_test.go
@@ -78,6 +78,20 @@
 	assert.Equal(t, len(p.accounts), 0)
 }
 
+// Guards against a request or response that never finds room because it exceeds the share of its team.
+func TestOnlyRequestOfATeamMayExceedItsShare(t *testing.T) {
+	p := New(800, nil)
+	large, next := p.NewTeamLease("a", nil), p.NewTeamLease("a", nil)
+	assert.Assert(t, p.MayWait("a", 600))
+	assert.NilError(t, large.Reserve(300))
+	assert.NilError(t, large.Reserve(300))
+	assert.ErrorIs(t, next.Reserve(1), ErrTeamExhausted)
+	assert.ErrorIs(t, large.Reserve(101), ErrExhausted, "the reserve stays free")
+	assert.NilError(t, p.NewTeamLease("b", nil).Reserve(100))
+	assert.Assert(t, large.Settle())
+	assert.Assert(t, !p.MayWait("a", 1) && p.MayWait("b", 1))
+}
+
 // Guards against accounts without end: teams beyond the limit share one.
 func TestNumberOfAccountsIsBounded(t *testing.T) {
 	p := New(1<<30, nil)
--- a/modules/ingress/held.go
+++ b/modules/ingress/held.go
@@ -18,7 +18,7 @@
 
 const (
 	// requestBytes is what a request takes besides its body and its response: buffers of both
-	// connections, headers and stacks.
+	// connections, headers and stacks. 300 streams whose callers did not read took 49 KB each.
 	requestBytes = 48 << 10
 	// bodyChunkBytes is the size of the first buffer and of the steps in which memory for a body
 	// without a stated length is taken.
--- a/modules/memory/memory.go
+++ b/modules/memory/memory.go
@@ -68,8 +68,8 @@
 	ProcessBytes int64 `json:"process_bytes"`
 	// CallerBytes bounds the memory that is held for callers, in bytes: bodies of requests, what
 	// each request needs until its caller has the response, and the responses that are expected.
-	// A team may hold as much as it leaves free, which is half if it is alone. At most half of the
-	// process's memory. Default 0: a quarter of the process's memory.
+	// A team may take more only while as much as it then holds stays free, which is half if it is
+	// alone. At most half of the process's memory. Default 0: a quarter of the process's memory.
 	CallerBytes int64 `json:"caller_bytes"`
 
 	log                *logrus.Entry
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -29,6 +29,15 @@
 	takeUpPause = 200 * time.Millisecond
 	// earlyClosePercent is the share of streams that the caller closes early.
 	earlyClosePercent = 5
+	// slowPercent is the share of calls whose caller reads slowBytes at a time, in the seeds with
+	// slow callers, and slowPause the longest pause between two reads. The 40 reads of a stream with
+	// padded events take at most .6 s, far less than callDeadline.
+	slowPercent = 30
+	slowPause   = 15 * time.Millisecond
+	slowBytes   = 32 << 10
+	// slowEventPadding makes a stream longer than the buffers of the sockets, so that the router
+	// waits for slow callers.
+	slowEventPadding = 64 << 10
 )
 
 // callKinds lists the kinds of calls with the routes of the sample configuration.
@@ -90,10 +99,14 @@
 	if c.isStream() && rng.IntN(100) < earlyClosePercent {
 		closeAfterEvents = 1 + rng.IntN(eventsPerStream-1)
 	}
+	pause := time.Duration(0)
+	if d.slowCallers && rng.IntN(100) < slowPercent {
+		pause = time.Duration(1 + rng.Int64N(int64(slowPause)))
+	}
 	parts := fmt.Sprintf("5c1e07a2:800,91bd3f%02x:410,%x:250", rng.IntN(8), rng.Uint32())
 	begunAt := time.Now()
 	for n := 1; ; n++ {
-		d.send(client, r, &c, kind.method, kind.path, key, parts, closeAfterEvents)
+		d.send(client, r, &c, kind.method, kind.path, key, parts, closeAfterEvents, pause)
 		if c.Kind != ResumableStream || c.Complete || c.ClosedByCaller || c.lastEvent() == 0 {
 			return
 		}
@@ -116,7 +129,7 @@
 func (c *Call) lastEvent() int { return c.AfterEvent + len(c.EventIDs) }
 
 // send makes a call and records it in the history.
-func (d *deployment) send(client *http.Client, r *router, c *Call, method, path, key, parts string, closeAfterEvents int) {
+func (d *deployment) send(client *http.Client, r *router, c *Call, method, path, key, parts string, closeAfterEvents int, pause time.Duration) {
 	request, err := http.NewRequest(method, "http://"+r.ip+":8000"+path, strings.NewReader("body of "+c.ID))
 	if err != nil {
 		d.t.Error(err)
@@ -138,8 +151,8 @@
 	if response, err := client.Do(request); err == nil {
 		c.Status = response.StatusCode
 		if c.isStream() && c.Status == http.StatusOK {
-			c.readEvents(response.Body, closeAfterEvents)
-		} else if text, err := io.ReadAll(response.Body); err == nil {
+			c.readEvents(&slowReader{response.Body, pause}, closeAfterEvents)
+		} else if text, err := io.ReadAll(&slowReader{response.Body, pause}); err == nil {
 			c.Body, c.Complete = string(text), true
 		}
 		_ = response.Body.Close() // The body has been read.
@@ -150,10 +163,25 @@
 	d.history.Calls = append(d.history.Calls, *c)
 }
 
+// slowReader pauses before each read of at most slowBytes, unless the pause is 0.
+type slowReader struct {
+	io.Reader
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (r *slowReader) Read(p []byte) (int, error) {
+	if r.pause > 0 {
+		time.Sleep(r.pause)
+		p = p[:min(len(p), slowBytes)]
+	}
+	return r.Reader.Read(p)
+}
+
 // readEvents reads the event ids of a stream to its end. If closeAfterEvents is
 // positive, it stops after that many events.
 func (c *Call) readEvents(body io.Reader, closeAfterEvents int) {
-	reader := bufio.NewReader(body)
+	reader := bufio.NewReaderSize(body, slowBytes)
 	for {
 		line, err := reader.ReadString('\n')
 		if _, version, ok := strings.Cut(strings.TrimSuffix(line, "\n"), " of "); ok && err == nil && strings.HasPrefix(line, "data: ") && !slices.Contains(c.SoftwareVersions, version) {
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -73,6 +73,8 @@
 	routers          []*router
 	serviceEndpoints []*endpoint
 	engineEndpoints  []*endpoint
+	// slowCallers says whether some callers read slowly and events are long.
+	slowCallers bool
 	// restoreMu is held from a copy of the store until the store is restored from it.
 	restoreMu sync.Mutex
 
@@ -112,8 +114,8 @@
 // newDeployment starts a deployment and waits until all routers are ready. Deployments
 // that run at the same time need different indices, which give their routers different
 // addresses.
-func newDeployment(t *testing.T, index, watchers, routerCount, serviceCount, engineCount int) *deployment {
-	d := &deployment{t: t, dir: t.TempDir(), startedAt: time.Now(), store: &platform.Store{}}
+func newDeployment(t *testing.T, index, watchers, routerCount, serviceCount, engineCount int, slowCallers bool) *deployment {
+	d := &deployment{t: t, slowCallers: slowCallers, dir: t.TempDir(), startedAt: time.Now(), store: &platform.Store{}}
 	d.history.EventsPerStream = eventsPerStream
 	d.publishNextConfiguration()
 	d.publishNextWeightsVersion()
--- a/soak/endpoints_test.go
+++ b/soak/endpoints_test.go
@@ -53,6 +53,9 @@
 		ID: fmt.Sprintf("%s.%d", e.name, len(e.incarnations)), Service: "app", Model: model,
 		SoftwareVersion: e.softwareVersion, StreamEvents: eventsPerStream, EventInterval: streamEventInterval, WeightsLoadTime: 100 * time.Millisecond,
 	}
+	if e.slowCallers {
+		incarnation.EventPadding = slowEventPadding
+	}
 	if model != "" {
 		incarnation.Service = "llm"
 		incarnation.SetWeightsVersion(weightsVersion)
--- a/soak/manyrouters_test.go
+++ b/soak/manyrouters_test.go
@@ -37,7 +37,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := newDeployment(t, manyRoutersIndex, defaultWatchers, routerCount, 1, 1)
+			d := newDeployment(t, manyRoutersIndex, defaultWatchers, routerCount, 1, 1, false)
 			time.Sleep(ranksSettlingTime)
 			// Those with the lowest addresses watch.
 			byAddress := slices.SortedFunc(slices.Values(d.routers), func(a, b *router) int { return cmp.Compare(a.ip, b.ip) })
--- a/soak/silent_test.go
+++ b/soak/silent_test.go
@@ -17,7 +17,7 @@
 // follows at once comes into force, is refused by no router as an older one says, and calls succeed
 // again. The time that it took is logged.
 func TestSilentConnectionsAreGivenUp(t *testing.T) {
-	d := newDeployment(t, silentIndex, defaultWatchers, int(envUint("ARBUTUS_SOAK_ROUTERS", 8)), 2, 2)
+	d := newDeployment(t, silentIndex, defaultWatchers, int(envUint("ARBUTUS_SOAK_ROUTERS", 8)), 2, 2, false)
 	ctx, cancel := context.WithCancel(context.Background())
 	called := make(chan struct{})
 	go func() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,7 +48,8 @@
 
 // Guards against violations of the guarantees that History.Violations checks, under
 // random faults. It runs ARBUTUS_SOAK_SEEDS seeds, 2 by default, beginning with
-// ARBUTUS_SOAK_FIRST, with 3 or 4 routers or ARBUTUS_SOAK_ROUTERS.
+// ARBUTUS_SOAK_FIRST, with 3 or 4 routers or ARBUTUS_SOAK_ROUTERS. In every fifth seed some callers
+// read slowly.
 func TestSoak(t *testing.T) {
 	first, seeds := envUint("ARBUTUS_SOAK_FIRST", 1), envUint("ARBUTUS_SOAK_SEEDS", 2)
 	for seed := first; seed < first+seeds; seed++ {
@@ -87,7 +88,7 @@
 		watchers = 1
 	}
 	routers := 3 + rng.IntN(2)
-	d := newDeployment(t, int(seed), watchers, int(envUint("ARBUTUS_SOAK_ROUTERS", uint64(routers))), 2+rng.IntN(2), 3+rng.IntN(3))
+	d := newDeployment(t, int(seed), watchers, int(envUint("ARBUTUS_SOAK_ROUTERS", uint64(routers))), 2+rng.IntN(2), 3+rng.IntN(3), seed%5 == 2)
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	callers.Go(func() { d.runCallers(ctx, seed, "t") })
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -37,6 +37,8 @@
 	// them.
 	StreamEvents  int
 	EventInterval time.Duration
+	// EventPadding is the number of bytes of a comment in each event, or 0.
+	EventPadding int
 	// ResponseDelay is the time that a plain service takes to answer.
 	ResponseDelay time.Duration
 	// WeightsLoadTime is the time that loading new weights takes.
@@ -471,6 +473,10 @@
 		}
 		first = n + 1
 	}
+	padding := ""
+	if e.EventPadding > 0 {
+		padding = ": " + strings.Repeat("x", e.EventPadding) + "\n"
+	}
 	flusher := http.NewResponseController(rw)
 	for n := first; n <= e.StreamEvents; n++ {
 		if fault == FaultTruncatedResponse && n == first+e.StreamEvents/2 {
@@ -478,7 +484,7 @@
 			_ = flusher.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(rw, "id: %d\ndata: token %d of %s\n\n", n, n, e.softwareVersion()); err != nil {
+		if _, err := fmt.Fprintf(rw, "id: %d\n%sdata: token %d of %s\n\n", n, padding, n, e.softwareVersion()); err != nil {
 			return
 		}
 		if flusher.Flush() != nil {
