Learn the length of responses before they are delivered

A team whose callers read nothing from the start was never refused: lengths were learned at the end of a delivery only. In a trial with 30 callers of 6 MiB answers 29 got 502 after their requests had run.

--- a/cmd/arbutus-front/slowcallers_test.go
+++ b/cmd/arbutus-front/slowcallers_test.go
@@ -126,7 +126,6 @@
 		assert.Equal(t, r.status, http.StatusOK)
 		assert.Equal(t, len(r.body), longBytes)
 	}
-	other("first") // The router learns the length of responses.
 	waiting := map[string]*slowCaller{}
 	refused := 0
 	for i := range 30 {
--- a/modules/ingress/held.go
+++ b/modules/ingress/held.go
@@ -13,6 +13,7 @@
 	"github.com/arbutusline/arbutusline/decision/bytebudget"
 	"github.com/arbutusline/arbutusline/fleet"
 	"github.com/arbutusline/arbutusline/modules/memory"
+	"github.com/arbutusline/arbutusline/modules/relay"
 	"github.com/arbutusline/arbutusline/platform"
 )
 
@@ -243,11 +244,7 @@
 	routes map[string]bytebudget.Size
 }
 
-// observe records the length of a response, unless there was none.
 func (s *responseSizes) observe(route string, bytes int) {
-	if bytes == 0 {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.routes == nil {
@@ -259,5 +256,5 @@
 func (s *responseSizes) expect(route string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.routes[route].Expected()
+	return min(s.routes[route].Expected(), relay.MaxResponseBytes)
 }
--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -200,7 +200,6 @@
 		return
 	}
 	report := g.relay.Run(r.Context(), w, req)
-	g.sizes.observe(req.Route.Name, report.ResponseBytes)
 	g.logReport(req, report)
 	if report.Incomplete {
 		g.abort(w, r)
@@ -268,7 +267,7 @@
 		ID: r.Header.Get(platform.HeaderRequestID), Method: r.Method, URI: requestTarget(r), Host: r.Host, Header: r.Header,
 		Body: body, Route: route, Team: team, Service: route.PickService(trafficFraction(route, r.Header)), ArrivedAt: arrivedAt,
 		ConfigurationVersion: config.Version, LastEventID: r.Header.Get(platform.HeaderLastEventID), Resumes: r.Header.Get(platform.HeaderResumes),
-		CallerLeft: callerLeft(r.Context()),
+		CallerLeft: callerLeft(r.Context()), ObserveResponse: func(bytes int) { g.sizes.observe(route.Name, bytes) },
 	}
 	if conn != nil {
 		req.CallerStalled = conn.stalled.Load
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -51,8 +51,8 @@
 	// firstByteTimeoutFactor multiplies the latency objective. The result is how long
 	// a repeatable request waits for the first byte of an endpoint's response.
 	firstByteTimeoutFactor = 2.5
-	// maxResponseBytes bounds responses that are not streamed.
-	maxResponseBytes = 8 << 20
+	// MaxResponseBytes bounds responses that are not streamed.
+	MaxResponseBytes = 8 << 20
 	// maxIdleTimeNonRepeatable is the longest time that a connection may have been
 	// idle before it is used for a request that must not be repeated. An endpoint
 	// may drop an idle connection without notice, and a request sent on it then
--- a/modules/relay/job.go
+++ b/modules/relay/job.go
@@ -31,6 +31,9 @@
 	// CallerStalled reports whether the connection was closed because the caller read nothing for
 	// too long. It may be nil.
 	CallerStalled func() bool
+	// ObserveResponse, if not nil, is told the length in bytes of the body of each response that is
+	// no stream, before it is delivered or after it found no memory.
+	ObserveResponse func(bytes int)
 	// Deadline is when the caller stops waiting or the route's timeout ends,
 	// whichever is earlier.
 	Deadline time.Time
@@ -60,6 +63,13 @@
 // deadlinePassed reports whether the caller no longer waits.
 func (r *Request) deadlinePassed() bool { return !time.Now().Before(r.Deadline) }
 
+// observeResponse tells ObserveResponse the length of a response.
+func (r *Request) observeResponse(bytes int) {
+	if r.ObserveResponse != nil {
+		r.ObserveResponse(bytes)
+	}
+}
+
 func (r *Request) teamName() string {
 	if r.Team == nil {
 		return ""
@@ -143,9 +153,6 @@
 	// TimeToFirstResponse is the time from arrival to the response or the first event
 	// of a stream, or 0 if there was none.
 	TimeToFirstResponse time.Duration
-	// ResponseBytes is the length of the response's body, or 0 for streams and requests without a
-	// response of an endpoint.
-	ResponseBytes int
 	// Incomplete means that the caller's connection must be closed because the
 	// response cannot be completed.
 	Incomplete bool
--- a/modules/relay/respond.go
+++ b/modules/relay/respond.go
@@ -85,7 +85,6 @@
 	x.copyResponseHeader(res.header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(res.body.Len()))
 	x.w.WriteHeader(res.status)
-	x.report.ResponseBytes = res.body.Len()
 	_, err := res.body.WriteTo(x.w)
 	if err == nil {
 		// The rest must not stay in buffers of a request that is no longer accounted for.
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/arbutusline/arbutusline/decision/bytebudget"
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/fleet"
 	"github.com/arbutusline/arbutusline/internal/httpstatus"
@@ -222,10 +223,14 @@
 		response.Discard()
 		return result{kind: resultErrorResponse, status: response.Status}
 	}
-	body, err := response.ReadAll(maxResponseBytes)
+	body, err := response.ReadAll(MaxResponseBytes)
 	if err != nil {
+		if stated, ok := response.Length(); ok && errors.Is(err, bytebudget.ErrExhausted) {
+			a.req.observeResponse(int(min(stated, MaxResponseBytes)))
+		}
 		return a.resultOfError(ctx, err)
 	}
+	a.req.observeResponse(body.Len())
 	res := result{status: response.Status, header: response.Header, body: body}
 	a.recordPrefillEnded(response.Status < http.StatusBadRequest)
 	if response.Status >= http.StatusInternalServerError {
--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -244,6 +244,9 @@
 	SelfDelimited bool
 }
 
+// Length returns the length of the body in bytes if the response states it.
+func (r *Response) Length() (bytes int64, stated bool) { return r.length, r.length >= 0 }
+
 // ReadAll reads the body to its end, at most limit bytes. It fails with the errors of Body and
 // those of content.Read. The content must be released.
 func (r *Response) ReadAll(limit int) (*content.Content, error) {
