--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -245,11 +245,13 @@
 	if conn != nil {
 		conn.begin(r.Header.Get(platform.HeaderRequestID), stallLimit(r.Header, nil))
 	}
-	if refused := g.hold(r, config, held); refused != nil {
-		return nil, refused
+	refused := g.hold(r, config, held)
+	var body []byte
+	if refused == nil {
+		body, refused = g.readBody(w, r, config.Limits, held)
 	}
-	body, refused := g.readBody(w, r, config.Limits, held)
 	if refused != nil {
+		g.boundDiscard(w, r)
 		return nil, refused
 	}
 	// The configuration may have changed while the body arrived.
@@ -365,7 +367,6 @@
 	g.log.WithFields(g.directory.Standing().Fields()).WithFields(logrus.Fields{
 		"request": id, "host": r.Host, "path": r.URL.Path, "status": refused.status, "reason": refused.reason,
 	}).Warn("request refused")
-	g.boundDiscard(w, r)
 	h := w.Header()
 	if id != "" {
 		h.Set(platform.HeaderRequestID, id)
