Comments do not restart the silence timer

The restart after each write to the caller let an endpoint that sends only comments keep its stream; found while reading, shown by TestCommentsDoNotKeepAStalledStream.

--- a/cmd/arbutus-front/slowcallers_test.go
+++ b/cmd/arbutus-front/slowcallers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"syscall"
@@ -214,3 +215,35 @@
 	assert.Equal(t, strings.Count(body, "id: "), 60)
 	assert.Equal(t, engines[0].ExecutionCount("paused")+engines[1].ExecutionCount("paused"), 1)
 }
+
+// commentStream sends one event of a stream and then only comments, unless the stream is resumed.
+type commentStream struct{ *platform.Endpoint }
+
+// ServeHTTP implements http.Handler.
+func (e commentStream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasPrefix(r.URL.Path, "/ask/") || r.Header.Get("Last-Event-Id") != "" {
+		e.Endpoint.ServeHTTP(w, r)
+		return
+	}
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Server-Stamp", e.ID)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for text := "id: 1\ndata: token 1 of v1\n\n"; r.Context().Err() == nil; text = ": alive\n\n" {
+		_, _ = io.WriteString(w, text) // Fails only if the router gave up.
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Guards against an endpoint without progress whose comments, written to the caller, count as progress.
+func TestCommentsDoNotKeepAStalledStream(t *testing.T) {
+	c := newCluster(t)
+	for _, e := range []*platform.Endpoint{engineEndpoint("e1"), engineEndpoint("e2")} {
+		e.SetWeightsVersion(1)
+		server := httptest.NewServer(commentStream{e})
+		t.Cleanup(server.Close)
+		c.endpointServers[e.ID] = server
+		c.registerEndpoint(e, "ready")
+	}
+	assertAllEvents(t, c.startRouter().sendPrompt("commented", "/ask/x"))
+}
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -268,12 +268,13 @@
 }
 
 // writeEvent writes an event to the caller and flushes it unless another one follows at once. The
-// silence timer starts again afterwards, because the endpoint was not read meanwhile.
+// silence timer starts again afterwards, because the endpoint was not read meanwhile, but not after
+// comments, which an endpoint may send without progress.
 func (a *attempt) writeEvent(event sse.Event, scanner *sse.Scanner) error {
 	a.writing.Store(true)
 	defer func() {
 		a.writing.Store(false)
-		if a.silenceTimer != nil && a.eventCount > 0 {
+		if a.silenceTimer != nil && !event.Comment {
 			a.silenceTimer.Reset(maxEventGap)
 		}
 	}()
