--- a/modules/relay/job.go
+++ b/modules/relay/job.go
@@ -28,6 +28,12 @@
 	// CallerLeft reports whether the caller has closed its connection, which the request's
 	// context tells later. nil means that only the context tells.
 	CallerLeft func() bool
+	// CallerStalled reports whether the connection was closed because the caller read nothing for
+	// too long. It may be nil.
+	CallerStalled func() bool
+	// ObserveResponse, if not nil, is told the length in bytes of the body of each response that is
+	// no stream, before it is delivered or after it found no memory.
+	ObserveResponse func(bytes int)
 	// Deadline is when the caller stops waiting or the route's timeout ends,
 	// whichever is earlier.
 	Deadline time.Time
@@ -57,6 +63,13 @@
 // deadlinePassed reports whether the caller no longer waits.
 func (r *Request) deadlinePassed() bool { return !time.Now().Before(r.Deadline) }
 
+// observeResponse tells ObserveResponse the length of a response.
+func (r *Request) observeResponse(bytes int) {
+	if r.ObserveResponse != nil {
+		r.ObserveResponse(bytes)
+	}
+}
+
 func (r *Request) teamName() string {
 	if r.Team == nil {
 		return ""
--- a/modules/upstream/upstream.go
+++ b/modules/upstream/upstream.go
@@ -204,6 +204,9 @@
 	// Abandoned reports whether the request was given up meanwhile. Do calls it last before
 	// it sends the request. nil means that only the context tells.
 	Abandoned func() bool
+	// Team is the account to whose share of the memory for responses the response counts, or ""
+	// if there is none.
+	Team string
 	// SentAt is when Do began to send the request. Do sets it; it stays zero if no
 	// connection was available.
 	SentAt time.Time
@@ -241,6 +244,9 @@
 	SelfDelimited bool
 }
 
+// Length returns the length of the body in bytes if the response states it.
+func (r *Response) Length() (bytes int64, stated bool) { return r.length, r.length >= 0 }
+
 // ReadAll reads the body to its end, at most limit bytes. It fails with the errors of Body and
 // those of content.Read. The content must be released.
 func (r *Response) ReadAll(limit int) (*content.Content, error) {
