Quotas of teams: configuration, admission and exchange

Cause: a team could use any part of a deployment; operators had no limit that holds for all routers together.

Change: the fields rate_per_s, burst, unit and uncached_tokens of a team are decoded and validated; an error names team, field and value. The relay asks decision/quota before the first selection of a request, answers 429 with Retry-After, and refunds requests that no endpoint can have run. Routers exchange their figures in RouterState.quota_uses and quota_levels, which stay empty without quotas.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -68,6 +68,12 @@
 	"ignored malformed time to return to an endpoint": {"request", "endpoint", "error"},
 	"request refused because of endpoint limits":      {"request", "route", "service", "ready_ms", "rate", "retry_after_ms"},
 
+	// Quotas of teams.
+	"quota of team changed":                            {"team", "rate_per_s", "burst", "unit", "rate_before", "burst_before", "configuration"},
+	"request refused because of the quota of its team": {"request", "route", "service", "team", "units", "quota_level", "share", "retry_after_ms"},
+	"ignored malformed token count":                    {"request", "error"},
+	"ignored invalid reports about quotas":             {"router", "reports"},
+
 	// Software versions of streams.
 	"software versions assigned to streams":                        {"service", "sequence", "era", "slots", "moved"},
 	"failed to write software versions":                            {"service", "sequence", "error"},
--- a/decision/quota/reports.go
+++ b/decision/quota/reports.go
@@ -91,13 +91,18 @@
 	return t.empty || t.available() < t.limit.Burst/2 || t.sums.demand > t.limit.Rate
 }
 
-// Merge adds what a message of another router told.
-func (l *Limiter) Merge(now time.Duration, from string, uses []Use, levels []Level) {
+// Merge adds what a message of another router told. It returns the number of reports with invalid
+// figures, which it ignores, as it does reports about teams and routers that it does not know.
+func (l *Limiter) Merge(now time.Duration, from string, uses []Use, levels []Level) (invalid int) {
 	l.hear(from, now)
 	l.heardAt = now
 	for _, u := range uses {
+		if !valid(u.Admitted) || !valid(u.DemandRate) {
+			invalid++
+			continue
+		}
 		t, age := l.teams[u.Team], max(0, u.Age)
-		if t == nil || u.Router == l.self || !sane(u.Admitted) || !sane(u.DemandRate) {
+		if t == nil || u.Router == l.self {
 			continue
 		}
 		if o := t.others[u.Router]; o != nil && (!o.known || u.Incarnation > o.incarnation || u.Incarnation == o.incarnation && u.Sequence > o.sequence) {
@@ -116,9 +121,10 @@
 			t.lowestLevel = min(t.lowestLevel, level.Available)
 		}
 	}
+	return invalid
 }
 
-func sane(units float64) bool { return units >= 0 && units <= maxUnits }
+func valid(units float64) bool { return units >= 0 && units <= maxUnits }
 
 // hear records that a router ran at a time.
 func (l *Limiter) hear(id string, asOf time.Duration) {
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -109,6 +109,8 @@
 	// Isolated teams do not share cached prompt parts with other teams.
 	Isolated bool
 	APIKeys  []string
+	// Quota limits the requests of the team at all routers together. It is nil if there is none.
+	Quota *Quota
 }
 
 // Configuration is one version of the operator's configuration.
--- a/modules/exchange/state.go
+++ b/modules/exchange/state.go
@@ -64,6 +64,7 @@
 			Endpoint: l.Endpoint, Version: l.Version, Confirmations: l.Confirmations, RequestsPerSecond: l.Rate,
 		})
 	}
+	x.addQuotas(out)
 	version, spec, inReplica := x.directory.ActiveConfiguration()
 	out.ConfigurationVersion = version
 	// A router that starts may know a later era of the store, or not ask for this kind.
@@ -166,6 +167,7 @@
 		})
 	}
 	x.relay.MergeLimits(limits)
+	x.mergeQuotas(in)
 	parts := make([]selection.CachedParts, 0, len(in.GetParts()))
 	for _, p := range in.GetParts() {
 		parts = append(parts, selection.CachedParts{EndpointID: p.GetEndpoint(), WeightsVersion: p.GetWeights(), Keys: p.GetKeys(), Computed: p.GetRead()})
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -161,6 +161,8 @@
 	softwareVersions []string
 	// recordVersion means that the version that begins the stream must be recorded.
 	recordVersion bool
+	// quotaUnits are the units that the request counts toward its team's quota.
+	quotaUnits float64
 }
 
 // Run runs the request and responds to the caller. It returns when the response is
@@ -206,6 +208,10 @@
 		x.refuse(reasonPartCrashesEngines, 0)
 		return
 	}
+	if !x.admitByQuota() {
+		return
+	}
+	defer x.refundQuota()
 	if reason := x.pinSoftwareVersion(ctx); reason != "" {
 		x.refuse(reason, refusalRetryAfter)
 		return
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -100,6 +100,7 @@
 	loggedBudgets map[string]loggedBudget
 	// overloadControllers is keyed by service.
 	overloadControllers map[string]*overload.Controller
+	quotas              quotas
 	// remoteLoads is keyed by router.
 	remoteLoads map[string]remoteLoad
 	// runningAttempts is keyed by endpoint ID.
@@ -152,6 +153,7 @@
 	}
 	r.metrics.register(a.Registry())
 	r.zone, r.routerID = n.Zone, n.ID
+	r.initQuotas(n, a.Registry())
 	r.selector = selection.New(selection.Config{
 		PrefillTokensPerMS: r.PrefillTokensPerMS, FetchTokensPerMS: fetchTokensPerMS, RecomputeFactor: recomputeFactor,
 		RunningRequestCost: runningRequestCost, CrossZoneCost: crossZoneCost,
@@ -226,7 +228,9 @@
 		others := slices.Collect(maps.Keys(names))
 		r.suspects.SetRouters(r.now(), r.routerID, others)
 		r.selector.Throttle().SetRouters(r.routerID, others)
+		r.quotas.limiter.SetRouters(r.now(), others)
 	}
+	r.setQuotasLocked(view.Config)
 	r.selector.SetRouters(position, routers)
 	r.selector.ForgetRemovedEndpoints(view)
 }
