--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -172,6 +172,8 @@
 	softwareVersions []string
 	// recordVersion means that the version that begins the stream must be recorded.
 	recordVersion bool
+	// quotaUnits are the units that the request counts toward its team's quota.
+	quotaUnits float64
 }
 
 // ReasonCallerStalled is the reason of requests whose callers did not read their responses.
@@ -223,6 +225,10 @@
 		x.refuse(reasonPartCrashesEngines, 0)
 		return
 	}
+	if !x.admitByQuota() {
+		return
+	}
+	defer x.refundQuota()
 	x.observeArrival()
 	if reason := x.pinSoftwareVersion(ctx); reason != "" {
 		x.refuse(reason, refusalRetryAfter)
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -109,6 +109,7 @@
 	loggedBudgets map[string]loggedBudget
 	// overloadControllers is keyed by service.
 	overloadControllers map[string]*overload.Controller
+	quotas              quotas
 	// remoteLoads is keyed by router.
 	remoteLoads map[string]remoteLoad
 	// runningAttempts is keyed by endpoint ID.
@@ -170,6 +171,7 @@
 	a.Registry().MustRegister(newCostCollector(r))
 	a.Registry().MustRegister(pressureCollector{r})
 	r.zone, r.routerID = n.Zone, n.ID
+	r.initQuotas(n, a.Registry())
 	r.selector = selection.New(selection.Config{
 		PrefillTokensPerMS: r.PrefillTokensPerMS, FetchTokensPerMS: fetchTokensPerMS, RecomputeFactor: recomputeFactor,
 		RunningRequestCost: runningRequestCost, CrossZoneCost: crossZoneCost,
@@ -248,7 +250,9 @@
 		others := slices.Collect(maps.Keys(names))
 		r.suspects.SetRouters(r.now(), r.routerID, others)
 		r.selector.Throttle().SetRouters(r.routerID, others)
+		r.quotas.limiter.SetRouters(r.now(), others)
 	}
+	r.setQuotasLocked(view.Config)
 	r.selector.SetRouters(position, routers)
 	r.selector.ForgetRemovedEndpoints(view)
 	r.forgetCostsLocked(view)
