Quota: a report older than the process that receives it

Callers saw closed connections: routers ended with 'index out of range [-1]' right after their start, because the history of demand was read at a negative time.

--- a/decision/quota/estimate.go
+++ b/decision/quota/estimate.go
@@ -227,7 +227,8 @@
 // at returns the value at a time, if that is recent enough.
 func (h *history) at(asOf time.Duration) (float64, bool) {
 	step := int64(asOf / historyStep)
-	if step <= h.last-historyLength {
+	// A report may be older than this process.
+	if step < 0 || step <= h.last-historyLength {
 		return 0, false
 	}
 	return h.values[min(step, h.last)%historyLength], true
