--- a/decision/overload/admission.go
+++ b/decision/overload/admission.go
@@ -40,8 +40,8 @@
 	// the request's own, from 0 to 1: the fraction of the requests of about the last second
 	// for which there was no room. Both are 0 without Config.CostAware.
 	Pressure, OwnPressure float64
-	// TeamExcess is by how much the work that the team started lately exceeds the average
-	// active team's, as a multiple of the average, or 0 if it does not.
+	// TeamExcess is by how much the work that the team started lately exceeds its fair share, as
+	// a multiple of the share, or 0 if it does not.
 	TeamExcess float64
 }
 
--- a/decision/overload/overload.go
+++ b/decision/overload/overload.go
@@ -59,6 +59,8 @@
 	// Team is the name of the team. It is empty for requests without a team, which count
 	// as those of one team.
 	Team string
+	// QuotaRate is the rate of the team's quota in tokens per second, or 0 if it has none.
+	QuotaRate float64
 	// Tokens is the number of prompt tokens to compute.
 	Tokens int
 	// Patience is how long the caller waits for the first event.
--- a/decision/overload/pressure.go
+++ b/decision/overload/pressure.go
@@ -55,6 +55,8 @@
 type teamUse struct {
 	use
 	lastSeen time.Duration
+	// quotaRate is the rate of the team's quota, or 0 if it has none.
+	quotaRate float64
 }
 
 // level is what the router observed of the requests of one priority.
@@ -91,6 +93,7 @@
 func (l *level) observe(now time.Duration, r Request, blocked bool, room time.Duration) (excess float64) {
 	l.lastSeen = now
 	t := l.team(now, r.Team)
+	t.quotaRate = r.QuotaRate
 	if !r.Repeated {
 		t.requests.add(now, shareWindow, 1)
 		l.all.requests.add(now, shareWindow, 1)
@@ -187,12 +190,30 @@
 	return t
 }
 
-// excess returns by how much the work that a team started lately exceeds the average active
-// team's, as a multiple of the average. It is 0 unless the team also sends more requests than
-// a team at its usual rate may by chance.
-func (l *level) excess(now time.Duration, t *teamUse) float64 {
+// fairShare returns the share of the work that a team may start under pressure: in proportion
+// to the quotas, by which operators tell how much each team needs, or even without them.
+// Teams without a quota count as the average team with one.
+func (l *level) fairShare(t *teamUse) float64 {
+	var sum, limited float64
+	for _, other := range l.teams {
+		if other.quotaRate > 0 {
+			sum += other.quotaRate
+			limited++
+		}
+	}
 	teams := float64(len(l.teams))
-	usual, work := l.all.requests.get(now, shareWindow)/teams, l.all.work.get(now, shareWindow)/teams
+	if limited == 0 || t.quotaRate <= 0 {
+		return 1 / teams
+	}
+	return t.quotaRate / (sum * teams / limited)
+}
+
+// excess returns by how much the work that a team started lately exceeds its fair share, as a
+// multiple of it. It is 0 unless the team also sends more requests than it may by chance with
+// that share of them.
+func (l *level) excess(now time.Duration, t *teamUse) float64 {
+	share := l.fairShare(t)
+	usual, work := l.all.requests.get(now, shareWindow)*share, l.all.work.get(now, shareWindow)*share
 	if work <= 0 || t.requests.get(now, shareWindow) <= usual+shareNoise*math.Sqrt(usual) {
 		return 0
 	}
--- a/modules/relay/overload.go
+++ b/modules/relay/overload.go
@@ -43,7 +43,7 @@
 func (x *execution) overloadRequest(held time.Duration) overload.Request {
 	return overload.Request{
 		Route: x.req.Route.Name, Objective: x.req.Route.LatencyObjective, Held: held, Remaining: time.Until(x.req.Deadline),
-		Priority: x.req.priority(), Team: x.req.teamName(), Patience: x.patience(),
+		Priority: x.req.priority(), Team: x.req.teamName(), QuotaRate: x.req.quotaRate(), Patience: x.patience(),
 	}
 }
 
--- a/modules/relay/quota.go
+++ b/modules/relay/quota.go
@@ -160,6 +160,15 @@
 	return false
 }
 
+// quotaRate returns the rate of the quota of the request's team in tokens per second, or 0 if the
+// team has no quota in tokens.
+func (r *Request) quotaRate() float64 {
+	if r.Team == nil || r.Team.Quota == nil || r.Team.Quota.Unit != fleet.UnitTokens {
+		return 0
+	}
+	return r.Team.Quota.Rate
+}
+
 // refundQuota takes back what was counted for the request if no endpoint can have run it.
 func (x *execution) refundQuota() {
 	if x.quotaUnits == 0 || x.mayHaveRunCount > 0 {
