decision/quota: routers count as silent after 3 s while the bucket has room

After 1.5 s, some of 25 routers always counted as silent when messages were lost, and shares measured for a few seconds could reserve nearly all of the rate.

--- a/decision/quota/estimate.go
+++ b/decision/quota/estimate.go
@@ -84,14 +84,16 @@
 		s.noise = t.meanSquare / t.meanUnits / demandTime.Seconds()
 	}
 	s.ownUsual = sinceCreation(t.own.usual, now-t.createdAt, usualTime)
-	s.long = sinceCreation(t.own.long, now-t.createdAt, shareTime)
-	current, usual := t.own.current+s.noise, s.ownUsual+s.noise
+	ownLong := sinceCreation(t.own.long, now-t.createdAt, shareTime)
+	s.long = ownLong
+	current, usual := t.own.current, s.ownUsual
 	known := 1
 	for _, o := range t.others {
 		if !o.known {
 			continue
 		}
 		known++
+		s.shares += o.share
 		s.long += o.demand.long
 		if now-o.asOf < freshAge {
 			current += o.demand.current
@@ -99,12 +101,13 @@
 		}
 	}
 	if usual > 0 {
-		s.growth = min(maxGrowth, max(1, current/usual))
+		s.growth = min(maxGrowth, max(1, (current+s.noise)/(usual+s.noise)))
 	}
 	if t.createdAt == l.startedAt && now-l.startedAt < announcePeriod {
 		s.unknown = s.long / float64(known) * s.growth
 		s.long += s.unknown * float64(len(t.others)+1-known)
 	}
+	s.shares += t.reservedShare(ownLong, s.long) + float64(len(t.others)+1-known)*t.reservedShare(s.unknown, s.long)
 	s.demand = s.expect(t.own.current, s.ownUsual)
 	t.sums = s
 	s.free = 1
@@ -172,6 +175,9 @@
 			if !o.known {
 				o.share = t.reservedShare(t.sums.unknown, t.sums.long)
 			}
+			if now-t.createdAt < shareTime {
+				o.share /= max(1, t.sums.shares)
+			}
 			// From now on its use is taken from the level at once.
 			o.cut = min(max(0, t.level), o.share*t.limit.Burst)
 			t.level -= o.predicted
--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -18,13 +18,13 @@
 const (
 	// silentAfter is the time without a report after which a router counts as silent, in
 	// deployments of up to silentAfterRouters routers. Pairs of these exchange reports about
-	// every half second, and every second between zones. In larger deployments it grows with
-	// the number of routers, as the interval between the reports of a pair does, up to
-	// maxSilentAfter.
+	// every half second, and every second between zones: after half of it, some routers would
+	// always count as silent. In larger deployments it grows with the number of routers, as the
+	// interval between the reports of a pair does, up to maxSilentAfter.
 	//
 	// A router that admits from its share counts others as silent sooner, silentWhileEmpty: reports
 	// are forwarded then and arrive several times as often.
-	silentAfter      = 1500 * time.Millisecond
+	silentAfter      = 3 * time.Second
 	silentWhileEmpty = 750 * time.Millisecond
 	// isolatedAfter is the time without any message after which all others count as silent: a
 	// router with 25 others receives about 50 messages in a second.
@@ -193,6 +193,9 @@
 	noise float64
 	// ownUsual is this router's usual demand.
 	ownUsual float64
+	// shares is the sum of this router's share and those of the others as of their last reports. It may exceed 1 while
+	// demand has not been measured for long.
+	shares float64
 	// unknown is the demand assumed of routers that are not known yet.
 	unknown float64
 	// free is the part of rate and burst that is not reserved for silent routers, and rate that
--- a/decision/quota/reports.go
+++ b/decision/quota/reports.go
@@ -15,6 +15,9 @@
 	// forwardAge is the age up to which reports of other routers are forwarded. Later ones reach
 	// others sooner on shorter ways.
 	forwardAge = 600 * time.Millisecond
+	// unknownUse bounds, with the burst, what a router that was not known or silent is believed to
+	// have used beyond its reserve, as a time of the rate.
+	unknownUse = 1500 * time.Millisecond
 	// settlePeriod is the longest time between the returns of two routers of a partition.
 	settlePeriod = 2 * time.Second
 )
@@ -150,7 +153,7 @@
 	used := u.Admitted - before
 	switch {
 	case !o.known:
-		t.level -= min(used, t.limit.Burst+t.limit.Rate*silentAfter.Seconds())
+		t.level -= min(used, t.limit.Burst+t.limit.Rate*unknownUse.Seconds())
 	case o.expired || o.silent || o.reservedUnits > 0:
 		t.settleReserve(now, o, used)
 	default:
@@ -181,7 +184,7 @@
 		t.unreserved = 0
 	}
 	before := max(0, t.unreserved)
-	t.unreserved += min(used-o.reservedUnits, t.limit.Burst+t.limit.Rate*silentAfter.Seconds())
+	t.unreserved += min(used-o.reservedUnits, t.limit.Burst+t.limit.Rate*unknownUse.Seconds())
 	t.level -= max(0, t.unreserved) - before
 	t.settledAt, o.reservedUnits = now, 0
 }
