decision/quota: usual demand from admitted units, not from samples

Cause: a report's demand rate is a mean over 0.3 s. A router heard from after seconds weighed it as the mean of all that time, so that one large request passed for its usual demand, and predictions of it used up the bucket of others.

Change: a router that refuses nothing had the demand that it admitted since its last report.

--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -210,11 +210,12 @@
 	router *router
 	// known is true after a report.
 	known       bool
-	knownSince  time.Duration
 	incarnation uint64
 	sequence    uint64
 	admitted    float64
 	demand      demand
+	// admittedRate is below the current demand if the router refused requests.
+	admittedRate float64
 	// grown is how much the usual demand has probably grown since the last report.
 	grown float64
 	// asOf is when the last report was made.
--- a/decision/quota/reports.go
+++ b/decision/quota/reports.go
@@ -73,7 +73,7 @@
 			if age := now - o.asOf; o.known && age < forwardAge {
 				forwarded = append(forwarded, Use{
 					Team: name, Router: id, Incarnation: o.incarnation, Sequence: o.sequence, Admitted: o.admitted,
-					DemandRate: o.demand.current, Age: age,
+					AdmittedRate: o.admittedRate, DemandRate: o.demand.current, Age: age,
 				})
 			}
 		}
@@ -100,7 +100,7 @@
 	l.hear(from, now)
 	l.heardAt = now
 	for _, u := range uses {
-		if !valid(u.Admitted) || !valid(u.DemandRate) {
+		if !valid(u.Admitted) || !valid(u.AdmittedRate) || !valid(u.DemandRate) {
 			invalid++
 			continue
 		}
@@ -160,7 +160,7 @@
 		t.level -= used
 	}
 	l.hear(u.Router, asOf)
-	o.observeDemand(u.DemandRate, asOf)
+	o.observeDemand(u, u.Admitted-before, asOf, t.createdAt)
 	o.known, o.grown = true, 1
 	o.incarnation, o.sequence, o.admitted, o.asOf = u.Incarnation, u.Sequence, u.Admitted, asOf
 	l.updateSums(now, t)
@@ -189,16 +189,20 @@
 	t.settledAt, o.reservedUnits = now, 0
 }
 
-// observeDemand updates the means of a router's demand. As long as little is known, they are means of all
-// reports.
-func (o *other) observeDemand(rate float64, asOf time.Duration) {
-	o.demand.current = rate
-	if !o.known {
-		o.demand.usual, o.demand.long, o.knownSince = rate, rate, asOf
-		return
+// observeDemand updates the means of a router's demand since a time, after it has admitted used units
+// since its last report. A single request must not pass for the usual: a router that refuses nothing has had
+// the demand that it admitted, and none before its first report. As long as little is known, the means are
+// those of all reports.
+func (o *other) observeDemand(u Use, used float64, asOf, since time.Duration) {
+	elapsed, mean := demandTime.Seconds(), u.DemandRate
+	if o.known {
+		elapsed = max(0, (asOf - o.asOf).Seconds())
+		if elapsed > 0 && u.AdmittedRate >= u.DemandRate {
+			mean = max(0, used) / elapsed
+		}
 	}
-	elapsed := max(0, (asOf - o.asOf).Seconds())
-	part := elapsed / max(elapsed, (asOf-o.knownSince).Seconds(), demandTime.Seconds())
-	o.demand.usual += (rate - o.demand.usual) * max(part, 1-math.Exp(-elapsed/usualTime.Seconds()))
-	o.demand.long += (rate - o.demand.long) * max(part, 1-math.Exp(-elapsed/shareTime.Seconds()))
+	part := elapsed / max(elapsed, (asOf-since).Seconds(), demandTime.Seconds())
+	o.demand.current, o.admittedRate = u.DemandRate, u.AdmittedRate
+	o.demand.usual += (mean - o.demand.usual) * max(part, 1-math.Exp(-elapsed/usualTime.Seconds()))
+	o.demand.long += (mean - o.demand.long) * max(part, 1-math.Exp(-elapsed/shareTime.Seconds()))
 }
