Front: the test of learned costs has routes with slack

Change: the test first checks that nothing is observed there, then publishes such routes; its other checks are unchanged.

--- a/cmd/arbutus-front/costs_test.go
+++ b/cmd/arbutus-front/costs_test.go
@@ -23,7 +23,8 @@
 
 // Load: streams of 20 events at one engine through two of three routers. Guards against
 // estimates that no metric shows or that other routers do not receive, against observing
-// anything while cost_aware is off, and against a reload that does not switch it.
+// anything while cost_aware is off or no route's objective leaves room for it, and against a
+// reload that does not switch it.
 func TestRoutersLearnAndExchangeSpeeds(t *testing.T) {
 	c := newCluster(t)
 	engine := engineEndpoint("e1")
@@ -56,6 +57,18 @@
 		}
 		t.Fatalf("no metric %q after %d streams", missing, sent)
 	}
+	for i := range 10 {
+		assert.Equal(t, len(router.sendPrompt(fmt.Sprint("tight", i), "/ask/x").eventIDs()), 20)
+	}
+	assert.Assert(t, !strings.Contains(getBody(router.adminURL+"/metrics"), errorMetrics[0]))
+	c.putConfiguration(2, func(config map[string]any) {
+		for _, route := range config["routes"].([]map[string]any) {
+			route["target_gap_ms"] = 100
+		}
+	})
+	for _, r := range []*testRouter{off, router, other} {
+		c.eventually("the configuration is in force", func() bool { return r.fleetView().Config.Version == 2 })
+	}
 	awaitMetrics(router, append(errorMetrics, speedMetric)...)
 	awaitMetrics(other, speedMetric)
 	assert.Assert(t, c.logs.wasLogged("estimated the cost of a request"))
