--- a/review/9/standin_test.go
+++ b/review/9/standin_test.go
@@ -1,10 +1,12 @@
 //go:build review
 
-// Package review9 is the stand-in of review case 9: callers, a plain service with few workers and the
-// platform's store. One request crashes each worker that begins to run it, and comes again and again.
+// Package review9 is the stand-in of review case 9: callers, engines and the platform's store. One
+// part of a prompt crashes each engine that begins to write an answer on it, after its first event.
 package review9
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -48,10 +50,10 @@
 	record    *os.File
 	mu        sync.Mutex
 	fronts    []*front
-	// crashes and lateArrivals count crashes, and deadly requests that reached workers later than
-	// stableWindow after the third.
+	// crashes and lateArrivals count crashes, and requests with the deadly part that reached engines
+	// later than stableWindow after the fifth.
 	crashes, lateArrivals int
-	thirdCrashAt          time.Time
+	fifthCrashAt          time.Time
 }
 
 // logf writes a line to record.txt.
@@ -205,175 +207,225 @@
 	_ = d.record.Close()
 }
 
-// worker is a worker of a plain service on one address. After a crash it starts again.
-type worker struct {
-	d       *deployment
-	name    string
-	address string
+// host runs one model engine at a time. Each start has a new ID and address.
+type host struct {
+	d    *deployment
+	name string
 
 	mu     sync.Mutex
 	boots  int
-	id     string
-	server *http.Server
+	worker *worker
 }
 
-// startWorker starts a worker and registers it.
-func (d *deployment) startWorker(name string) {
-	w := &worker{d: d, name: name, address: "127.0.0.1:" + freePort("127.0.0.1")}
-	w.start()
+// worker is one start of an engine.
+type worker struct {
+	host   *host
+	id     string
+	born   int64
+	server *http.Server
+	once   sync.Once
 }
 
-// start starts the process of the worker. It registers at once, as a ping may come up to a heartbeat
-// later.
-func (w *worker) start() {
-	l, err := net.Listen("tcp", w.address)
+// start starts an engine and registers it.
+func (h *host) start() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.boots++
-	if before := w.id; before != "" && !keepID {
-		w.d.store.Remove("servers", before)
-	}
-	w.id = "i-" + w.name
-	if !keepID {
-		w.id += "-" + strconv.Itoa(w.boots)
-	}
-	b := &boot{worker: w, id: w.id, server: &http.Server{}}
-	b.server.Handler = b
-	go func() { _ = b.server.Serve(l) }()
-	w.d.store.Put("servers", w.id, map[string]any{
-		"service": "app", "address": w.address, "zone": "a", "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0,
-		"sequence": 1, "born": time.Now().UnixMilli(),
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.boots++
+	w := &worker{host: h, id: fmt.Sprintf("i-%s-%d", h.name, h.boots), born: time.Now().UnixMilli()}
+	w.server = &http.Server{Handler: w}
+	h.worker = w
+	go func() { _ = w.server.Serve(l) }()
+	h.d.store.Put("servers", w.id, map[string]any{
+		"service": "llm", "address": l.Addr().String(), "zone": "a", "version": "v1", "slots": 64, "state": "ready", "cold_remaining_ms": 0,
+		"sequence": 1, "born": w.born, "models": []map[string]any{{"name": model, "version": 1, "adapters": []string{}}},
 	})
-	w.d.logf("worker %s starts at %s, start %d", w.id, w.address, w.boots)
+	h.d.logf("worker %s starts at %s", w.id, l.Addr())
 }
 
-// boot is one start of a worker.
-type boot struct {
-	worker *worker
-	id     string
-	server *http.Server
-	once   sync.Once
+// crash ends the engine: its connections break. The host starts the next one two seconds later, and
+// the entry of the crashed one is removed after three heartbeats.
+func (w *worker) crash(request string) {
+	w.once.Do(func() {
+		w.host.d.countCrash(w.id, request)
+		_ = w.server.Close()
+		time.AfterFunc(restartTime, w.host.start)
+		time.AfterFunc(3*heartbeat, func() { w.host.d.store.Remove("servers", w.id) })
+	})
 }
 
-// crash ends the boot: its connections break. The worker is back after restartTime.
-func (b *boot) crash(request string) {
-	b.once.Do(func() {
-		b.worker.d.countCrash(b.id, request)
-		_ = b.server.Close()
-		time.AfterFunc(restartTime, b.worker.start)
-	})
+// ServeHTTP serves the engine API and streams.
+func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != w.id {
+		if id != "" {
+			rw.Header().Set("Request-Id", id)
+		}
+		rw.Header().Set("Instance-Id", w.id)
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case "/report":
+		writeJSON(rw, map[string]any{"stage": "both", "models": []map[string]any{{"name": model, "version": 1, "adapters": []string{}}},
+			"busy": false, "sequence": 0, "queued": 0, "running": 0, "kv_used": 0, "kv_total": 100000, "handles": 0, "born": w.born})
+		return
+	case "/kv-events":
+		ms, _ := strconv.Atoi(r.Header.Get("Wait-Ms"))
+		select {
+		case <-time.After(time.Duration(ms) * time.Millisecond):
+		case <-r.Context().Done():
+		}
+		writeJSON(rw, map[string]any{"boot_epoch": w.born, "next": 1, "lost": false, "events": []any{}, "born": w.born})
+		return
+	}
+	if _, err := io.ReadAll(r.Body); err != nil {
+		return
+	}
+	w.stream(rw, r, id)
 }
 
 const (
-	// restartTime is the time after which a crashed worker is back.
+	// Streams have streamEvents events, one each eventInterval.
+	streamEvents  = 20
+	eventInterval = 30 * time.Millisecond
+	// restartTime is the time after which a crashed engine is back.
 	restartTime = 2 * time.Second
-	// workTime is what a sound request takes.
-	workTime = 100 * time.Millisecond
+	// deadlyPart is the part of a prompt that crashes engines.
+	deadlyPart = "dead0001"
 	// stableWindow is stable_window_ms of the deployments in force.
 	stableWindow = 3 * time.Second
-	// deadlyBody is the body of the request that crashes workers.
-	deadlyBody = "deadly"
 )
 
-// ServeHTTP runs requests.
-func (b *boot) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	d, id := b.worker.d, r.Header.Get("Request-Id")
-	rw.Header().Set("Request-Id", id)
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != b.id {
-		rw.Header().Set("Instance-Id", b.id)
-		rw.Header().Set("Not-Executed", "1")
-		rw.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
+func (w *worker) stream(rw http.ResponseWriter, r *http.Request, id string) {
+	first := 1
+	if last := r.Header.Get("Last-Event-Id"); last != "" {
+		n, err := strconv.Atoi(last)
+		if err != nil {
+			rw.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		first = n + 1
 	}
-	deadly := string(body) == deadlyBody
-	d.logf("worker %s runs %s, deadly: %v", b.id, id, deadly)
+	deadly := strings.Contains(r.Header.Get("Prefix-Hash"), deadlyPart+":")
+	w.host.d.logf("worker %s runs %s from event %d, deadly part: %v", w.id, id, first, deadly)
 	if deadly {
-		d.countArrival(id)
-		b.crash(id)
-		return
+		w.host.d.countArrival(id)
 	}
-	select {
-	case <-time.After(workTime):
-	case <-r.Context().Done():
-		d.logf("worker %s breaks off %s", b.id, id)
+	rw.Header().Set("Request-Id", id)
+	rw.Header().Set("Server-Stamp", w.id+"."+id)
+	rw.Header().Set("Content-Type", "text/event-stream")
+	rw.Header().Set("Weight-Versions", "1")
+	flusher := http.NewResponseController(rw)
+	if deadly && !afterEvent {
+		_ = flusher.Flush() // The crash follows in any case.
+		time.Sleep(crashDelay)
+		w.crash(id)
 		return
 	}
-	rw.Header().Set("Server-Stamp", b.id+"."+id)
-	_, _ = io.WriteString(rw, "answer to "+id)
+	for n := first; n <= streamEvents; n++ {
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: token %d\n\n", n, n); err != nil || flusher.Flush() != nil {
+			return
+		}
+		if deadly {
+			time.Sleep(crashDelay) // The event is on its way when the engine crashes.
+			w.crash(id)
+			return
+		}
+		select {
+		case <-time.After(eventInterval):
+		case <-r.Context().Done():
+			return
+		}
+	}
 }
 
-// countCrash records a crash of a worker.
+// afterEvent is whether engines send the first event of an answer before they crash, or only its head.
+var afterEvent = os.Getenv("AFTER_EVENT") != "0"
+
+// crashDelay is the time from the beginning of the answer until the engine crashes.
+const crashDelay = 3 * time.Millisecond
+
+// countCrash records a crash of an engine by a request with the deadly part.
 func (d *deployment) countCrash(worker, request string) {
 	d.mu.Lock()
 	d.crashes++
 	n := d.crashes
-	if n == 3 {
-		d.thirdCrashAt = time.Now()
+	if n == 5 {
+		d.fifthCrashAt = time.Now()
 	}
 	d.mu.Unlock()
 	d.logf("worker %s crashes because of %s, crash %d", worker, request, n)
 }
 
-// countArrival records that the deadly request reached a worker.
+// countArrival records that a request with the deadly part reached an engine.
 func (d *deployment) countArrival(request string) {
 	d.mu.Lock()
-	late := !d.thirdCrashAt.IsZero() && time.Since(d.thirdCrashAt) > stableWindow
+	late := !d.fifthCrashAt.IsZero() && time.Since(d.fifthCrashAt) > stableWindow
 	if late {
 		d.lateArrivals++
 	}
 	d.mu.Unlock()
 	if late {
-		d.logf("BROKEN after three of these: deadly request %s reaches a worker later than %s after the third crash", request, stableWindow)
+		d.logf("BROKEN after three of these: %s with the deadly part reaches an engine later than %s after the fifth crash", request, stableWindow)
 	}
 }
 
-// answer is what a caller got.
+func writeJSON(rw http.ResponseWriter, body any) {
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(body)
+}
+
+// answer is what a caller got for one stream.
 type answer struct {
 	deadly bool
+	events int
 	status string
-	lost   bool
+	sentAt time.Time
 }
 
-// post sends a non-idempotent request.
-func (d *deployment) post(f *front, id string, deadly bool) answer {
-	a := answer{deadly: deadly}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+// ask sends a request and reads its stream.
+func (d *deployment) ask(f *front, id string, deadly bool) answer {
+	a := answer{deadly: deadly, sentAt: time.Now()}
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 	defer cancel()
-	body := "entry " + id
+	own, shared := fmt.Sprintf("%x", rand.Uint64()), fmt.Sprintf("b%d", rand.IntN(8))
+	parts := "5c1e07a2:800," + shared + ":400,"
 	if deadly {
-		body = deadlyBody
+		parts += deadlyPart + ":200,"
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.callers+"/post/x", strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.callers+"/ask/x", bytes.NewReader([]byte(`{"prompt":"`+own+`"}`)))
 	if err != nil {
 		panic(err)
 	}
 	r.Host = hostname
-	for name, value := range map[string]string{"Request-Id": id, "Deadline-Ms": "1000", "Authorization": "Token " + apiKey} {
+	for name, value := range map[string]string{"Request-Id": id, "Deadline-Ms": "6000", "Authorization": "Token " + apiKey, "Model": model,
+		"Token-Count": "1600,20", "Prefix-Hash": parts + own + ":200"} {
 		r.Header.Set(name, value)
 	}
-	d.logf("caller sends %s to %s, deadly: %v", id, f.name, deadly)
+	d.logf("caller sends %s to %s, deadly part: %v", id, f.name, deadly)
 	response, err := client.Do(r)
 	if err != nil {
 		a.status = "no answer"
-	} else {
-		text, err := io.ReadAll(response.Body)
-		_ = response.Body.Close()
-		a.status = strconv.Itoa(response.StatusCode)
-		if err != nil {
-			a.status += " broken off"
-		}
-		if response.StatusCode == http.StatusOK && string(text) != "answer to "+id {
-			a.status += " wrong body"
+		d.logf("caller gets for %s no answer", id)
+		return a
+	}
+	defer func() { _ = response.Body.Close() }()
+	a.status = strconv.Itoa(response.StatusCode)
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "data: ") {
+			a.events++
 		}
 	}
-	d.logf("caller gets for %s %s", id, a.status)
+	if lines.Err() != nil {
+		a.status += " broken off"
+	}
+	d.logf("caller gets for %s status %s, %d events", id, a.status, a.events)
 	return a
 }
 
@@ -382,36 +434,27 @@
 func config() map[string]any {
 	return map[string]any{
 		"version": 1,
-		"routes": []map[string]any{{"name": "post", "host": hostname, "path_prefix": "/post/", "route_type": "non_idempotent", "service": "app", "timeout_ms": 1000,
-			"target_latency_ms": 150, "priority": 2, "max_attempts": 1}},
-		"services": []map[string]any{{"name": "app", "max_connections": 110}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []map[string]any{{"name": "open", "api_keys": []string{apiKey}}},
+		"routes": []map[string]any{{"name": "ask", "host": hostname, "path_prefix": "/ask/", "route_type": "stream", "service": "llm", "timeout_ms": 6000,
+			"target_latency_ms": 600, "target_gap_ms": 300, "priority": 1, "max_attempts": 2, "resumable": true, "sticky": true}},
+		"services": []map[string]any{{"name": "llm", "max_connections": 370, "engine": map[string]any{
+			"slots": 64, "kv_capacity_tokens": 104328, "kv_token_bytes": 163840, "models": []map[string]any{{"name": model, "version": 1}}}}},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{"name": "open", "api_keys": []string{apiKey}}},
 	}
 }
 
 // TestMain plays the case. Its exit code is that of run.sh.
 func TestMain(*testing.M) { os.Exit(play()) }
 
-// keepID is whether a worker starts again under the ID that it had.
-var keepID = os.Getenv("KEEP_ID") != "0"
-
-func envInt(name string, fallback int) int {
-	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
-		return n
-	}
-	return fallback
-}
-
 func play() (code int) {
 	d := newDeployment(config())
 	defer d.stop()
 	trouble := os.Getenv("TROUBLE") != "0"
-	for n := range envInt("WORKERS", 2) {
-		d.startWorker(strconv.Itoa(n + 1))
+	for n := range 8 {
+		(&host{d: d, name: strconv.Itoa(n)}).start()
 	}
 	network := fmt.Sprintf("127.%d.%d", 80+rand.IntN(40), 1+os.Getpid()%250)
-	for range envInt("ROUTERS", 2) {
+	for range 2 {
 		d.addFront(network)
 	}
 	for _, f := range d.fronts {
@@ -424,39 +467,37 @@
 	var mu sync.Mutex
 	var answers []answer
 	var callers sync.WaitGroup
-	begin, length := time.Now(), time.Duration(envInt("LENGTH", 40))*time.Second
-	for n := 0; time.Since(begin) < length; n++ {
-		time.Sleep(20 * time.Millisecond)
-		deadly := trouble && n%envInt("EACH", 50) < len(d.fronts) && time.Since(begin) > 4*time.Second
+	begin := time.Now()
+	for n := 0; time.Since(begin) < 26*time.Second; n++ {
+		time.Sleep(25 * time.Millisecond)
+		since := time.Since(begin)
+		deadly := trouble && n%20 == 0 && since > 4*time.Second && since < 26*time.Second
 		callers.Go(func() {
-			a := d.post(d.fronts[n%len(d.fronts)], fmt.Sprintf("%016x", rand.Uint64()), deadly)
+			a := d.ask(d.fronts[n%len(d.fronts)], fmt.Sprintf("%016x", rand.Uint64()), deadly)
 			mu.Lock()
 			defer mu.Unlock()
 			answers = append(answers, a)
 		})
 	}
 	callers.Wait()
-	sound, served, refused, lost := 0, 0, 0, 0
+	sound, complete, lost := 0, 0, 0
 	for _, a := range answers {
 		if a.deadly {
 			continue
 		}
 		sound++
-		switch a.status {
-		case "200":
-			served++
-		case "503", "429":
-			refused++
-		default:
+		if a.events == streamEvents {
+			complete++
+		} else if strings.Contains(a.status, "broken") {
 			lost++
 		}
 	}
-	summary := fmt.Sprintf("%d crashes, the deadly request reached workers %d times later than %s after the third (rule: not more than 3); %d sound requests, %d served, %d refused, %d without a result",
-		d.crashes, d.lateArrivals, stableWindow, sound, served, refused, lost)
+	summary := fmt.Sprintf("%d crashes, %d requests with the deadly part reached engines later than %s after the fifth (rule: not more than 3); %d sound streams, %d complete, %d broken off",
+		d.crashes, d.lateArrivals, stableWindow, sound, complete, lost)
 	d.logf("%s", summary)
 	fmt.Println(summary)
 	switch {
-	case served == 0:
+	case complete < sound/4:
 		return couldNotRun
 	case d.lateArrivals > 3:
 		return broken
