--- a/review/8/standin_test.go
+++ b/review/8/standin_test.go
@@ -407,12 +407,15 @@
 // TestMain plays the case. Its exit code is that of run.sh.
 func TestMain(*testing.M) { os.Exit(play()) }
 
+// engines is the number of engines that are ready at any time.
+const engines = 16
+
 func play() (code int) {
 	d := newDeployment(config())
 	defer d.stop()
 	trouble := os.Getenv("TROUBLE") != "0"
 	var ready []*worker
-	for range 16 {
+	for range engines {
 		ready = append(ready, d.startWorker("v1"))
 	}
 	network := fmt.Sprintf("127.%d.%d", 80+rand.IntN(40), 1+os.Getpid()%250)
@@ -448,14 +451,14 @@
 	})
 	time.Sleep(15 * time.Second)
 	// Three releases, of half of the engines each. Two engines keep the first software.
-	for i, left := range []int{8, 4, 2} {
+	for i, left := range []int{engines / 2, engines / 4, engines / 8} {
 		version := fmt.Sprintf("v%d", i+2)
 		d.logf("release of software %s", version)
 		v1, newer := ready[:2*left], ready[2*left:]
 		for n := left; n < len(v1); n++ {
 			v1[n] = v1[n].replace(version)
 		}
-		for n := range (16 - 2*left) / 2 {
+		for n := range (engines - 2*left) / 2 {
 			newer[n] = newer[n].replace(version)
 		}
 		time.Sleep([]time.Duration{1200, 1200, 800}[i] * time.Millisecond)
