--- a/review/12/standin_test.go
+++ b/review/13/standin_test.go
@@ -26,7 +26,7 @@
 )
 
 const (
-	folder = "review/12"
+	folder = "review/13"
 	// The figures of tech-query and of the sheet of kaayal-arbutus.
 	objectiveMS, gapMS, timeoutMS      = 400, 300, 15000
 	drainMS, configMS, versionMS       = 2000, 2000, 8000
@@ -226,12 +226,12 @@
 		engines = append(engines, e)
 	}
 
-	dir, err := os.MkdirTemp("", "review-12-")
+	dir, err := os.MkdirTemp("", "review-13-")
 	if err != nil {
 		return 0, err
 	}
 	defer os.RemoveAll(dir)
-	ip := fmt.Sprintf("127.112.%d.%d", os.Getpid()/250%250+1, os.Getpid()%250+1)
+	ip := fmt.Sprintf("127.113.%d.%d", os.Getpid()/250%250+1, os.Getpid()%250+1)
 	ports, err := freePorts(ip, 3)
 	if err != nil {
 		return 0, err
--- a/review/11/standin_test.go
+++ b/review/14/standin_test.go
@@ -26,7 +26,7 @@
 )
 
 const (
-	folder = "review/11"
+	folder = "review/14"
 	// The figures of tech-query and of the sheet of kaayal-arbutus.
 	objectiveMS, gapMS, timeoutMS      = 400, 300, 15000
 	drainMS, configMS, versionMS       = 2000, 2000, 8000
@@ -266,12 +266,12 @@
 		store.Put("servers", w.ID, entry)
 	}
 
-	dir, err := os.MkdirTemp("", "review-11-")
+	dir, err := os.MkdirTemp("", "review-14-")
 	if err != nil {
 		return 0, err
 	}
 	defer os.RemoveAll(dir)
-	ip := fmt.Sprintf("127.111.%d.%d", os.Getpid()/250%250+1, os.Getpid()%250+1)
+	ip := fmt.Sprintf("127.114.%d.%d", os.Getpid()/250%250+1, os.Getpid()%250+1)
 	ports, err := freePorts(ip, 3)
 	if err != nil {
 		return 0, err
