--- a/review/13/standin_test.go
+++ b/review/13/standin_test.go
@@ -253,8 +253,15 @@
 		return 0, err
 	}
 	exited := make(chan error, 1)
-	go func() { exited <- front.Wait() }()
-	defer func() { _ = front.Process.Kill() }() // It has exited unless the case failed.
+	go func() {
+		exited <- front.Wait()
+		close(exited)
+	}()
+	defer func() {
+		_ = front.Process.Kill() // It has exited unless the case failed.
+		for range exited {
+		}
+	}()
 
 	if err := waitReady("http://" + ip + ":" + ports[1] + "/readyz"); err != nil {
 		return 0, err
