A shorter timeout does not end the certainty of streams that began before it

Cause: a version left the set of a slot after the timeout in force at that moment and the spread time, while streams live by the one under which they began. A router that starts, a service without a resumable route, records that a holder takes, and callers whose deadline exceeds the timeout met the same.

The longest lifetime of a live stream is now part of the table of software versions. It rises with the configuration and with the deadlines that callers state, and falls once all streams have ended that began with it. A record that contradicts the table refuses the take-up: one of them is wrong.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -83,15 +83,17 @@
 	"ignored invalid reports about quotas":             {"router", "reports"},
 
 	// Software versions of streams.
-	"software versions assigned to streams":                        {"service", "sequence", "era", "slots", "moved"},
-	"failed to write software versions":                            {"service", "sequence", "error"},
-	"ignored invalid table of software versions":                   {"service", "error"},
-	"stream not continued because its software version is unknown": {"request", "route", "service", "resumes", "after_event"},
-	"took over records of streams":                                 {"router", "records"},
-	"failed to write records of streams":                           {"error"},
-	"failed to list records of streams":                            {"error"},
-	"failed to encode records of streams":                          {"error"},
-	"ignored invalid records of streams":                           {"router", "error"},
+	"software versions assigned to streams":                         {"service", "sequence", "era", "slots", "moved", "lifetime_ms"},
+	"stream lifetime changed":                                       {"service", "configured_ms", "longest_ms"},
+	"record of a stream contradicts the table of software versions": {"service", "stream", "table", "record", "sequence"},
+	"failed to write software versions":                             {"service", "sequence", "error"},
+	"ignored invalid table of software versions":                    {"service", "error"},
+	"stream not continued because its software version is unknown":  {"request", "route", "service", "resumes", "after_event"},
+	"took over records of streams":                                  {"router", "records"},
+	"failed to write records of streams":                            {"error"},
+	"failed to list records of streams":                             {"error"},
+	"failed to encode records of streams":                           {"error"},
+	"ignored invalid records of streams":                            {"router", "error"},
 
 	// Budgets and requests that crash endpoints.
 	"retry budget exhausted":                        {"service", "first", "retries", "slack"},
--- a/decision/versionpin/history_test.go
+++ b/decision/versionpin/history_test.go
@@ -23,7 +23,7 @@
 )
 
 var testConfig = Config{
-	StreamLifetime: lifetime, SpreadTime: 10 * time.Second, OutageSpreadTime: 500 * time.Millisecond,
+	SpreadTime: 10 * time.Second, OutageSpreadTime: 500 * time.Millisecond,
 	MinChangeInterval: time.Second, MinPruneInterval: 3 * time.Second, PromiseTime: 2500 * time.Millisecond,
 }
 
@@ -53,7 +53,10 @@
 	tableWrites, recordWrites    int
 	faults                       faultRates
 	incarnation                  uint64
-	killAt, killAllAt            time.Duration
+	// timeout is the route's timeout as the operator wants it, 0 while the route is not
+	// resumable, and rewriteAt when it is written again after a restore of the store.
+	timeout, rewriteAt time.Duration
+	killAt, killAllAt  time.Duration
 }
 
 type simStore struct {
@@ -63,6 +66,10 @@
 	tableAt fleet.StorePosition
 	// records are what each router wrote last.
 	records map[int]*Records
+	// timeout is that of the route in the configuration, and timeoutAt the position of the
+	// configuration.
+	timeout   time.Duration
+	timeoutAt fleet.StorePosition
 }
 
 func (s simStore) clone() simStore {
@@ -90,12 +97,18 @@
 	// storeLostTill and cutTill are until when this router alone does not reach the store, and
 	// the other routers.
 	storeLostTill, cutTill time.Duration
+	// timeout is that of the route in the configuration that this router knows, and timeoutAt
+	// the position of the configuration.
+	timeout   time.Duration
+	timeoutAt fleet.StorePosition
 }
 
 // simStream is a stream and, for the oracle, the version of its events.
 type simStream struct {
-	hash      uint64
-	begunAt   time.Duration
+	hash    uint64
+	begunAt time.Duration
+	// lifetime is how long the caller waits for the end of the stream.
+	lifetime  time.Duration
 	endsAt    time.Duration
 	firstAt   time.Duration
 	router    *simRouter
@@ -110,8 +123,11 @@
 
 func newWorld(seed uint64, routers int) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 17)), endpoints: map[string]int{"v0": 18}, moveEvery: time.Hour,
-		store: simStore{position: fleet.StorePosition{Era: 1, Revision: 10}, records: map[int]*Records{}},
+		rng: rand.New(rand.NewPCG(seed, 17)), endpoints: map[string]int{"v0": 18}, moveEvery: time.Hour, timeout: lifetime,
+		store: simStore{
+			position: fleet.StorePosition{Era: 1, Revision: 10}, records: map[int]*Records{},
+			timeout: lifetime, timeoutAt: fleet.StorePosition{Era: 1, Revision: 1},
+		},
 	}
 	w.copied = w.store.clone()
 	for i := range routers {
@@ -166,7 +182,7 @@
 		default:
 			encoded, next, err := o.records.Since(r.held.Cursor(name))
 			assert.NilError(t, err)
-			earlier, err := r.held.Take(name, encoded, next, w.now+lifetime)
+			earlier, err := r.held.Take(name, encoded, next, w.now+w.recordLifetime(r))
 			assert.NilError(t, err)
 			w.takeOver(r, earlier)
 		}
@@ -196,6 +212,7 @@
 				continue
 			}
 			r.machine.ObserveStored(w.now, o.machine.stored, o.machine.position)
+			w.observeTimeout(r, o.timeout, o.timeoutAt)
 			r.machine.ObserveContact(w.now)
 			if w.storeUp(o) {
 				continue
@@ -206,6 +223,7 @@
 		}
 		return
 	}
+	w.observeTimeout(r, w.store.timeout, w.store.timeoutAt)
 	if w.store.table == nil {
 		r.machine.ObserveRead(w.now, w.now, nil, fleet.StorePosition{Era: w.store.position.Era})
 		return
@@ -213,6 +231,14 @@
 	r.machine.ObserveRead(w.now, w.now, w.store.table, fleet.StorePosition{Era: w.store.position.Era, Revision: w.store.tableAt.Revision})
 }
 
+// observeTimeout lets a router learn a configuration that is not older than its own.
+func (w *world) observeTimeout(r *simRouter, timeout time.Duration, at fleet.StorePosition) {
+	if !at.Before(r.timeoutAt) {
+		r.timeout, r.timeoutAt = timeout, at
+	}
+	r.machine.SetStreamLifetime(w.now, r.timeout)
+}
+
 // propose lets a router write the table.
 func (w *world) propose(t *testing.T, r *simRouter) {
 	alone := w.now-r.startedAt > 2*time.Second
@@ -257,7 +283,7 @@
 		if old := w.store.records[r.index]; old != nil {
 			data, err := json.Marshal(old)
 			assert.NilError(t, err)
-			assert.NilError(t, r.records.Merge(data, w.now+lifetime))
+			assert.NilError(t, r.records.Merge(data, w.now+w.recordLifetime(r)))
 		}
 		r.loadedRecords = true
 	}
@@ -296,8 +322,15 @@
 }
 
 func (w *world) begin(r *simRouter) {
+	if r.timeout == 0 && r.timeoutAt.Revision > 0 {
+		return // The route is not resumable.
+	}
 	w.nextID++
-	s := &simStream{hash: StreamHash("llm", fmt.Sprint(w.nextID)), begunAt: w.now, router: r}
+	s := &simStream{hash: StreamHash("llm", fmt.Sprint(w.nextID)), begunAt: w.now, router: r, lifetime: r.timeout}
+	if w.happens(w.faults.longDeadline) {
+		s.lifetime = longDeadline
+	}
+	r.machine.ObserveStreamLifetime(w.now, s.lifetime)
 	for _, v := range r.machine.Begin(w.now, s.hash) {
 		if w.endpoints[v] > 0 {
 			s.version = v
@@ -316,7 +349,7 @@
 	s.firstAt = w.now + firstEventTime
 	s.endsAt = s.firstAt + time.Duration(200+w.rng.IntN(2500))*time.Millisecond
 	if w.faults.longStreams {
-		s.endsAt = s.firstAt + 12*time.Second
+		s.endsAt = s.firstAt + s.lifetime - 3*time.Second
 	}
 }
 
@@ -324,9 +357,12 @@
 func (w *world) recordVersion(s *simStream) {
 	table := s.router.machine.Table()
 	s.wasCertain = table != nil && table.certain(slotOf(s.hash))
-	s.router.records.Add(s.hash, s.version, w.now+lifetime)
+	s.router.records.Add(s.hash, s.version, w.now+w.recordLifetime(s.router))
 }
 
+// recordLifetime is how long a router keeps a record.
+func (w *world) recordLifetime(r *simRouter) time.Duration { return r.machine.StreamLifetime(w.now) }
+
 // takeUp lets a caller take up a broken stream at a router, and checks the router's decision
 // against the oracle.
 func (w *world) takeUp(t *testing.T, seed uint64, s *simStream, r *simRouter) {
@@ -391,7 +427,7 @@
 	}
 	kept := w.streams[:0]
 	for _, s := range w.streams {
-		if w.now-s.begunAt > lifetime || !s.broken && w.now >= s.endsAt && s.router.alive {
+		if w.now-s.begunAt > s.lifetime || !s.broken && w.now >= s.endsAt && s.router.alive {
 			continue
 		}
 		kept = append(kept, s)
@@ -409,7 +445,7 @@
 	case !s.router.alive || s.router.startedAt > s.firstAt:
 		s.broken = true
 		if !s.hasEvents {
-			s.begunAt = -lifetime // The caller begins another stream.
+			s.begunAt = -s.lifetime // The caller begins another stream.
 		}
 	case !s.hasEvents && w.now >= s.firstAt:
 		s.hasEvents = true
@@ -431,8 +467,14 @@
 	// loseStore and cutOff keep one router alone from the store and from the others, and
 	// breakStream breaks a stream that has begun.
 	loseStore, cutOff, breakStream int
+	// changeTimeout changes the timeout of the route, or its resumability, and longDeadline is the
+	// mean number of streams between two whose callers wait for longDeadline.
+	changeTimeout, longDeadline int
 }
 
+// longDeadline is the deadline of callers that wait longer than any timeout of the route.
+const longDeadline = 25 * time.Second
+
 func (w *world) kill(r *simRouter, downtime time.Duration) {
 	r.alive, r.startsAt = false, w.now+downtime
 }
@@ -463,6 +505,14 @@
 	if w.happens(f.cutOff) {
 		w.routers[w.rng.IntN(len(w.routers))].cutTill = w.now + time.Duration(w.rng.IntN(6000))*time.Millisecond
 	}
+	if w.happens(f.changeTimeout) {
+		w.timeout = []time.Duration{0, 2 * time.Second, 8 * time.Second, lifetime, lifetime}[w.rng.IntN(5)]
+		w.rewriteAt = w.now
+	}
+	if w.now >= max(w.rewriteAt, w.downTill) && w.store.timeout != w.timeout {
+		w.store.position.Revision++
+		w.store.timeout, w.store.timeoutAt = w.timeout, w.store.position
+	}
 	if w.happens(f.release) && w.release == "" {
 		w.releases++
 		w.release = fmt.Sprintf("v%d", w.releases)
@@ -479,6 +529,10 @@
 		w.store = w.copied.clone()
 		w.store.position.Era = position.Era + 1
 		w.downTill = w.now + time.Duration(w.rng.IntN(1500))*time.Millisecond
+		if f.changeTimeout > 0 {
+			w.rewriteAt = w.now + time.Duration(w.rng.IntN(3000))*time.Millisecond
+		}
+		w.store.timeoutAt.Era = w.store.position.Era
 		for i, r := range w.routers {
 			if f.killOnRestore && (i == 0 || position.Revision%3 == 0) {
 				w.kill(r, time.Duration(w.rng.IntN(300))*time.Millisecond)
@@ -537,6 +591,12 @@
 		{"long streams, routers restart in releases", faultRates{killOne: 150, pause: 300, release: 2500, longStreams: true}, .5},
 		{"long streams, a router alone loses the store in releases", faultRates{release: 2500, loseStore: 300, killAfterChange: 1, longStreams: true}, .5},
 		{"the store is away, all routers run", faultRates{release: 500, storeDown: 250, breakStream: 30}, .5},
+		{"timeouts change", faultRates{release: 700, changeTimeout: 400, breakStream: 60, longStreams: true}, .5},
+		{"timeouts change, routers restart", faultRates{killOne: 150, killAll: 1500, pause: 300, release: 700, changeTimeout: 400, breakStream: 60, longStreams: true}, .5},
+		{"timeouts change, the store is away", faultRates{killOne: 400, release: 500, storeDown: 250, loseStore: 200, changeTimeout: 300, breakStream: 60, longStreams: true}, 0},
+		{"timeouts change, the store comes back from copies", faultRates{killAll: 1500, killOne: 300, release: 500, restore: 500, changeTimeout: 300, breakStream: 60, longStreams: true}, 0},
+		{"timeouts change, a router is cut off", faultRates{pause: 300, release: 400, loseStore: 150, cutOff: 150, changeTimeout: 300, breakStream: 60, longStreams: true}, .5},
+		{"callers wait longer than timeouts", faultRates{killOne: 300, release: 500, changeTimeout: 500, longDeadline: 20, breakStream: 60, longStreams: true}, .5},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -555,7 +615,7 @@
 			t.Logf("%d of %d streams begun, %d of %d take-ups went on, %d of %d after a move", begun, begun+refused, continued, takenUp, movedContinued, movedTakenUp)
 			assert.Assert(t, takenUp > 200)
 			assert.Assert(t, share >= c.minShare*beginShare, "share %.2f of %.2f", share, beginShare)
-			if c.faults.longStreams {
+			if c.faults.longStreams && c.faults.changeTimeout == 0 {
 				assert.Assert(t, movedTakenUp > 20)
 				movedShare := float64(movedContinued) / float64(movedTakenUp)
 				assert.Assert(t, movedShare >= c.minShare*beginShare, "share %.2f of %.2f after a move", movedShare, beginShare)
--- a/decision/versionpin/machine.go
+++ b/decision/versionpin/machine.go
@@ -9,9 +9,6 @@
 
 // Config holds the durations of a Machine.
 type Config struct {
-	// StreamLifetime is the longest time from the begin of a stream until a caller may
-	// take it up for the last time.
-	StreamLifetime time.Duration
 	// SpreadTime is the time since the last contact with the store or another router after
 	// which a router begins no streams.
 	SpreadTime time.Duration
@@ -65,6 +62,10 @@
 	unsureOf *fleet.StorePosition
 	// unsureBefore is true if an earlier write was unsure when the last one began.
 	unsureBefore bool
+	// lifetimes are those of the streams of which this router knows, and lifetimesKnownSince is
+	// since when it knows, together with the table, those of all live streams.
+	lifetimes           lifetimes
+	lifetimesKnownSince time.Duration
 }
 
 // Promise is that of a router which does not reach the store, to change no table for
@@ -78,7 +79,7 @@
 
 // NewMachine returns a Machine that knows no table.
 func NewMachine(cfg Config) *Machine {
-	return &Machine{cfg: cfg, promises: map[string]receivedPromise{}}
+	return &Machine{cfg: cfg, promises: map[string]receivedPromise{}, lifetimes: lifetimes{spreadTime: cfg.SpreadTime}}
 }
 
 // SetRouters replaces the names of all other routers that may run.
@@ -132,9 +133,6 @@
 	}
 }
 
-// SetStreamLifetime replaces Config.StreamLifetime.
-func (m *Machine) SetStreamLifetime(d time.Duration) { m.cfg.StreamLifetime = d }
-
 // Confirmed reports whether this router has read the table from the store itself.
 func (m *Machine) Confirmed() bool { return m.confirmed }
 
@@ -184,6 +182,9 @@
 	if old != nil && old.Era < t.Era {
 		t = t.withUnknownOf(old)
 	}
+	if old == nil || t.StreamLifetime > old.StreamLifetime {
+		m.lifetimesKnownSince = max(m.lifetimesKnownSince, now)
+	}
 	m.table = t
 	for slot := range Slots {
 		switch is := t.Versions[t.current[slot]]; {
@@ -197,6 +198,7 @@
 // the writer of this table did not know is unknown.
 func (t *Table) withUnknownOf(old *Table) *Table {
 	out := *t
+	out.StreamLifetime = max(out.StreamLifetime, old.StreamLifetime)
 	for slot := range Slots {
 		for _, v := range old.possibleVersions(slot) {
 			if !slices.Contains(t.possibleVersions(slot), v) {
@@ -313,6 +315,7 @@
 		if m.stored != nil {
 			t.Sequence = m.stored.Sequence + 1
 		}
+		t.StreamLifetime = m.StreamLifetime(now)
 		return Proposal{t, m.position}, c.Alone
 	}
 	next := m.table.clone()
@@ -323,6 +326,12 @@
 		return Proposal{next, m.position}, changed
 	}
 	unchangedFor := now - m.lastChangeAt
+	next.StreamLifetime = m.StreamLifetime(now)
+	if m.stored != nil {
+		// A longer lifetime is written at once: this router may die.
+		rises, falls := next.StreamLifetime > m.stored.StreamLifetime, next.StreamLifetime < m.stored.StreamLifetime
+		changed = changed || rises || falls && unchangedFor >= m.cfg.MinPruneInterval
+	}
 	// Only the table in force tells which slots may be pruned, so that this comes first.
 	if unchangedFor >= m.cfg.MinPruneInterval && m.prune(now, next) {
 		changed = true
@@ -359,7 +368,7 @@
 func (m *Machine) prune(now time.Duration, t *Table) bool {
 	pruned := false
 	for slot := range Slots {
-		if !m.table.certain(slot) && now-m.settledSince[slot] >= m.cfg.StreamLifetime+m.cfg.SpreadTime {
+		if !m.table.certain(slot) && now-m.settledSince[slot] >= t.StreamLifetime+m.cfg.SpreadTime {
 			t.possible[slot] = 1 << t.current[slot]
 			pruned = true
 		}
--- a/decision/versionpin/table.go
+++ b/decision/versionpin/table.go
@@ -19,6 +19,7 @@
 	"math/bits"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -49,6 +50,9 @@
 	Era uint64
 	// Versions are the named versions.
 	Versions []string
+	// StreamLifetime is the longest time from the begin of a live stream until its caller may
+	// take it up for the last time. It outlives the configuration that allowed it.
+	StreamLifetime time.Duration
 	// current is the index of the version at which new streams of a slot begin, and
 	// possible has bit i set if live streams may have begun at version i.
 	current  [Slots]uint8
@@ -129,6 +133,8 @@
 	Sequence uint64   `json:"sequence"`
 	Era      uint64   `json:"era"`
 	Versions []string `json:"versions"`
+	// LifetimeMS is StreamLifetime in milliseconds, rounded up.
+	LifetimeMS int64 `json:"lifetime_ms,omitempty"`
 	// Current has a digit, and Possible two hexadecimal digits, for each slot.
 	Current  string `json:"current"`
 	Possible string `json:"possible"`
@@ -140,7 +146,7 @@
 	for _, i := range t.current {
 		current = strconv.AppendUint(current, uint64(i), 10)
 	}
-	return json.Marshal(wireTable{t.Sequence, t.Era, t.Versions, string(current), hex.EncodeToString(t.possible[:])})
+	return json.Marshal(wireTable{t.Sequence, t.Era, t.Versions, ceilMS(min(t.StreamLifetime, maxStreamLifetime)), string(current), hex.EncodeToString(t.possible[:])})
 }
 
 // UnmarshalJSON implements json.Unmarshaler. It fails with ErrInvalidTable.
@@ -153,7 +159,10 @@
 	if err != nil || len(possible) != Slots || len(w.Current) != Slots || len(w.Versions) == 0 || len(w.Versions) > maxVersions {
 		return errors.Wrapf(ErrInvalidTable, "%d versions, %d and %d slots", len(w.Versions), len(w.Current), len(possible))
 	}
-	t.Sequence, t.Era, t.Versions = w.Sequence, w.Era, w.Versions
+	if w.LifetimeMS < 0 || w.LifetimeMS > maxStreamLifetime.Milliseconds() {
+		return errors.Wrapf(ErrInvalidTable, "stream lifetime of %d ms", w.LifetimeMS)
+	}
+	t.Sequence, t.Era, t.Versions, t.StreamLifetime = w.Sequence, w.Era, w.Versions, time.Duration(w.LifetimeMS)*time.Millisecond
 	for slot := range Slots {
 		i := w.Current[slot] - '0'
 		if int(i) >= len(w.Versions) || possible[slot]&(1<<i) == 0 || bits.Len8(possible[slot]&^unknownBit) > len(w.Versions) {
--- a/modules/ingress/ingress.go
+++ b/modules/ingress/ingress.go
@@ -319,6 +319,7 @@
 	if req.Prompt, err = platform.DecodePrompt(h); err != nil {
 		return &refusal{http.StatusBadRequest, "malformed_prompt", 0}
 	}
+	req.CallerTimeout = timeout
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
--- a/modules/relay/job.go
+++ b/modules/relay/job.go
@@ -37,6 +37,8 @@
 	// Deadline is when the caller stops waiting or the route's timeout ends,
 	// whichever is earlier.
 	Deadline time.Time
+	// CallerTimeout is how long the caller says that it waits, 0 if it does not say so.
+	CallerTimeout time.Duration
 	// ConfigurationVersion is the version of the configuration that the request was
 	// checked against.
 	ConfigurationVersion uint64
--- a/modules/relay/version.go
+++ b/modules/relay/version.go
@@ -26,7 +26,7 @@
 	switch {
 	case !x.req.resumable():
 	case x.req.LastEventID == "":
-		if x.softwareVersions = x.relay.versions.Begin(ctx, x.req.Service, x.req.ID); len(x.softwareVersions) == 0 {
+		if x.softwareVersions = x.relay.versions.Begin(ctx, x.req.Service, x.req.ID, x.req.CallerTimeout); len(x.softwareVersions) == 0 {
 			return reasonVersionsUnassigned
 		}
 	default:
--- a/modules/streamversions/held.go
+++ b/modules/streamversions/held.go
@@ -34,7 +34,7 @@
 func (v *StreamVersions) HoldRecords(router string, encoded []byte, c versionpin.Cursor) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	earlier, err := v.held.Take(router, encoded, c, bootclock.Now()+v.recordLifetime)
+	earlier, err := v.held.Take(router, encoded, c, bootclock.Now()+v.recordLifetimeLocked())
 	v.logInvalidRecords(router, err)
 	v.takeOverLocked(router, earlier)
 }
--- a/modules/streamversions/records.go
+++ b/modules/streamversions/records.go
@@ -40,7 +40,7 @@
 func (v *StreamVersions) Record(serviceName, requestID, version string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.records.AddUpTo(maxRecords, versionpin.StreamHash(serviceName, requestID), version, bootclock.Now()+v.recordLifetime)
+	v.records.AddUpTo(maxRecords, versionpin.StreamHash(serviceName, requestID), version, bootclock.Now()+v.recordLifetimeLocked())
 }
 
 func (v *StreamVersions) flushPeriodically() {
@@ -110,7 +110,7 @@
 		}
 		if err == nil {
 			v.mu.Lock()
-			mergeErr := v.records.Merge(o.Spec, bootclock.Now()+v.recordLifetime)
+			mergeErr := v.records.Merge(o.Spec, bootclock.Now()+v.recordLifetimeLocked())
 			v.mu.Unlock()
 			v.logInvalidRecords(v.node.ID, mergeErr)
 		}
--- a/modules/streamversions/start_test.go
+++ b/modules/streamversions/start_test.go
@@ -54,7 +54,7 @@
 		})
 		d.ObserveContact()
 	}()
-	versions := v.Begin(t.Context(), "llm", "a")
+	versions := v.Begin(t.Context(), "llm", "a", 0)
 	assert.DeepEqual(t, versions, []string{"v1"})
 }
 
@@ -63,12 +63,12 @@
 func TestStreamsDoNotWaitLongForTheSoftwareVersions(t *testing.T) {
 	v, _ := startedRouter(t)
 	begin := bootclock.Now()
-	versions := v.Begin(t.Context(), "llm", "a")
+	versions := v.Begin(t.Context(), "llm", "a", 0)
 	assert.Equal(t, len(versions), 0)
 	assert.Assert(t, bootclock.Now()-begin >= tableWait)
 	v.startedAt -= startTime
 	begin = bootclock.Now()
-	versions = v.Begin(t.Context(), "llm", "a")
+	versions = v.Begin(t.Context(), "llm", "a", 0)
 	assert.Equal(t, len(versions), 0)
 	assert.Assert(t, bootclock.Now()-begin < tableWait)
 }
--- a/modules/streamversions/streamversions.go
+++ b/modules/streamversions/streamversions.go
@@ -32,8 +32,11 @@
 const Name = "stream_versions"
 
 const (
-	// defaultStreamLifetime applies if no resumable route states a timeout.
+	// defaultStreamLifetime applies to routes without a timeout, as for requests that state none.
 	defaultStreamLifetime = 30 * time.Second
+	// maxCallerLifetime bounds for how long the deadline of a single caller, which exceeds the
+	// timeout of its route, can keep the versions of all streams uncertain.
+	maxCallerLifetime = time.Minute
 	// spreadTime is longer than most outages of the store, in which a router whose peers are
 	// dead goes on to begin streams.
 	spreadTime = 10 * time.Second
@@ -52,9 +55,12 @@
 	minPruneInterval  = 3 * time.Second
 	// proposeInterval is the time between two checks of the tables.
 	proposeInterval = 100 * time.Millisecond
-	// rankDelay is the time for which routers of lower ranks have the first chance to
-	// write a table.
-	rankDelay = 400 * time.Millisecond
+	// rankDelay is the time for which each router of a lower rank has the first chance to write a
+	// table, and highRankDelay that of routers from highRank on: what only one of hundreds of
+	// routers knows must not wait for the ranks of all.
+	rankDelay     = 400 * time.Millisecond
+	highRankDelay = 20 * time.Millisecond
+	highRank      = 10
 	// startTime is the time after the start of a router in which a table can be expected: others
 	// write theirs again within .5 s of a restore of the store, and a router that finds no others
 	// begins a new one after 2 s. tableWait is how long a request waits for it meanwhile, as long
@@ -89,8 +95,6 @@
 	held *versionpin.Held
 	// takenOver is true if there are records of a router that died to be written.
 	takenOver bool
-	// recordLifetime is the longest lifetime of a stream of any service.
-	recordLifetime time.Duration
 	// recordsLoaded is true once the records of before a restart were taken over. Only the
 	// goroutine that writes records uses it.
 	recordsLoaded bool
@@ -105,9 +109,11 @@
 
 // service is the state of a service with resumable streams.
 type service struct {
-	name     string
-	machine  *versionpin.Machine
-	capacity versionpin.Capacity
+	name    string
+	machine *versionpin.Machine
+	// configuredLifetime is that of new streams in the configuration, 0 if none may begin.
+	configuredLifetime time.Duration
+	capacity           versionpin.Capacity
 	// needSince is since when the table has to be written, or 0. notBefore is the earliest
 	// time of the next try.
 	needSince, notBefore time.Duration
@@ -127,7 +133,6 @@
 func (v *StreamVersions) Provision(k *arbutusline.Kernel) error {
 	v.log = k.Log.WithField("module", Name)
 	v.services, v.listedRecords, v.held = map[string]*service{}, versionpin.NewRecords(), versionpin.NewHeld()
-	v.recordLifetime = defaultStreamLifetime + spreadTime
 	v.startedAt = bootclock.Now()
 	a, err := arbutusline.Lookup[*admin.Admin](k, admin.Name)
 	if err != nil {
@@ -142,7 +147,7 @@
 	}
 	v.store = v.directory.PlatformStore()
 	v.takeUps = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "arbutus_stream_take_ups_total", Help: "Streams that callers take up, by what told the software version: table, record, or unknown.",
+		Name: "arbutus_stream_take_ups_total", Help: "Streams that callers take up, by what told the software version: table or record, unknown, or contradicted.",
 	}, []string{"result"})
 	v.movedSlots = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "arbutus_stream_slots_moved", Help: "Slots of a service's streams, of 256, whose software version the table does not tell.",
@@ -203,21 +208,20 @@
 		return
 	}
 	lifetimes := streamLifetimes(view.Config)
-	v.recordLifetime = spreadTime
-	for name, lifetime := range lifetimes {
-		s := v.services[name]
-		if s == nil {
-			s = &service{name: name, machine: versionpin.NewMachine(versionpin.Config{
+	for name := range lifetimes {
+		if v.services[name] == nil {
+			v.services[name] = &service{name: name, machine: versionpin.NewMachine(versionpin.Config{
 				SpreadTime: spreadTime, OutageSpreadTime: outageSpreadTime,
 				MinChangeInterval: minChangeInterval, MinPruneInterval: minPruneInterval, PromiseTime: promiseTime,
 			})}
-			v.services[name] = s
 		}
+	}
+	// Streams of a service live on when no route lets new ones begin.
+	for name, s := range v.services {
 		if v.directory.RoutersKnownLocked() {
 			s.machine.SetRouters(slices.Collect(maps.Keys(v.directory.OtherRouterNamesLocked())))
 		}
-		s.machine.SetStreamLifetime(lifetime)
-		v.recordLifetime = max(v.recordLifetime, lifetime+spreadTime)
+		v.setStreamLifetimeLocked(s, lifetimes[name])
 		s.capacity = readyCapacity(view, name)
 		spec, position := v.directory.EntryLocked(directory.KindSoftwareVersions, name)
 		if position.Era > 0 || position.Revision > 0 || v.directory.RoutersKnownLocked() {
@@ -227,6 +231,33 @@
 	}
 }
 
+// setStreamLifetimeLocked replaces the lifetime of streams that begin at a service, and logs it if
+// it changes. The caller holds mu.
+func (v *StreamVersions) setStreamLifetimeLocked(s *service, lifetime time.Duration) {
+	now := bootclock.Now()
+	s.machine.SetStreamLifetime(now, lifetime)
+	if lifetime == s.configuredLifetime {
+		return
+	}
+	s.configuredLifetime = lifetime
+	v.log.WithFields(logrus.Fields{
+		"service": s.name, "configured_ms": lifetime.Milliseconds(), "longest_ms": s.machine.StreamLifetime(now).Milliseconds(),
+	}).Info("stream lifetime changed")
+}
+
+// recordLifetimeLocked returns how long a record is kept: a record does not tell its service. The
+// caller holds mu.
+func (v *StreamVersions) recordLifetimeLocked() time.Duration {
+	now, longest := bootclock.Now(), time.Duration(0)
+	for _, s := range v.services {
+		longest = max(longest, s.machine.StreamLifetime(now))
+		if s.machine.Table() == nil {
+			longest = max(longest, defaultStreamLifetime) // The table may tell of streams that live longer.
+		}
+	}
+	return longest + spreadTime
+}
+
 // readyCapacity returns the slots of a service's ready endpoints by software version.
 func readyCapacity(view *fleet.View, service string) versionpin.Capacity {
 	out := versionpin.Capacity{}
@@ -282,6 +313,7 @@
 	v.movedSlots.WithLabelValues(s.name).Set(float64(t.MovedSlots()))
 	v.log.WithFields(logrus.Fields{
 		"service": s.name, "sequence": t.Sequence, "era": t.Era, "slots": t.Shares(), "moved": t.MovedSlots(),
+		"lifetime_ms": t.StreamLifetime.Milliseconds(),
 	}).Info("software versions assigned to streams")
 	v.records.SetMoved(v.movedSlotsLocked())
 }
@@ -302,8 +334,8 @@
 
 // Begin returns the software versions at which a new stream may begin, in order of
 // preference. It returns none if no table is known, for which it waits shortly after the start of
-// this router.
-func (v *StreamVersions) Begin(ctx context.Context, serviceName, requestID string) []string {
+// this router. callerTimeout is how long the caller says that it waits, 0 if it does not say so.
+func (v *StreamVersions) Begin(ctx context.Context, serviceName, requestID string, callerTimeout time.Duration) []string {
 	v.awaitTable(ctx, serviceName)
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -312,6 +344,8 @@
 		return nil
 	}
 	v.observeContactLocked(s, spreadTime)
+	// Whole seconds, so that few lifetimes differ.
+	s.machine.ObserveStreamLifetime(bootclock.Now(), min((callerTimeout+time.Second-1).Truncate(time.Second), maxCallerLifetime))
 	return s.machine.Begin(bootclock.Now(), versionpin.StreamHash(serviceName, requestID))
 }
 
@@ -357,7 +391,7 @@
 		if s.needSince == 0 {
 			s.needSince = t
 		}
-		if t-s.needSince >= time.Duration(rank)*rankDelay {
+		if t-s.needSince >= turnDelay(rank) {
 			s.writing = true
 			s.machine.ObserveWriteBegun(p)
 			v.goroutines.Go(func() { v.writeTable(s, p) })
@@ -365,6 +399,11 @@
 	}
 }
 
+// turnDelay is how long a router of a rank waits before it writes a table.
+func turnDelay(rank int) time.Duration {
+	return time.Duration(min(rank, highRank))*rankDelay + time.Duration(max(0, rank-highRank))*highRankDelay
+}
+
 // writeTable writes a proposed table. After a conflict another router has written one.
 func (v *StreamVersions) writeTable(s *service, p versionpin.Proposal) {
 	var o platform.Object
--- a/modules/streamversions/takeup.go
+++ b/modules/streamversions/takeup.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/arbutusline/arbutusline/decision/versionpin"
 	"github.com/arbutusline/arbutusline/fleet"
@@ -31,6 +32,8 @@
 	toldByTable  takeUpResult = "table"
 	toldByRecord takeUpResult = "record"
 	notTold      takeUpResult = "unknown"
+	// contradicted means that a record names another version than the table.
+	contradicted takeUpResult = "contradicted"
 )
 
 // Resume returns the software version at which a stream began. requestID is that of the
@@ -40,7 +43,7 @@
 	v.awaitTable(ctx, serviceName)
 	version, result := v.resume(ctx, serviceName, requestID, bootclock.Now()-time.Since(arrivedAt))
 	v.takeUps.WithLabelValues(string(result)).Inc()
-	return version, result != notTold
+	return version, result == toldByTable || result == toldByRecord
 }
 
 func (v *StreamVersions) resume(ctx context.Context, serviceName, requestID string, arrivedAt time.Duration) (string, takeUpResult) {
@@ -57,7 +60,7 @@
 	version, knowledge := v.askMachine(s, stream, requestID == "", arrivedAt)
 	switch {
 	case knowledge == versionpin.Certain:
-		return version, toldByTable
+		return v.checkRecord(s, stream, version)
 	case knowledge == versionpin.NeedsRead || requestID == "":
 		return "", notTold
 	}
@@ -67,6 +70,23 @@
 	return "", notTold
 }
 
+// checkRecord compares what the table tells about a stream with the records that this router has.
+// A record is evidence, and the table concludes from the time for which callers wait, which a caller
+// may exceed; but a caller may also have used an ID twice. Neither is trusted if they differ.
+func (v *StreamVersions) checkRecord(s *service, stream uint64, version string) (string, takeUpResult) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, find := range []func(uint64) (string, bool){v.records.Version, v.held.Version} {
+		if recorded, ok := find(stream); ok && recorded != version {
+			v.log.WithFields(logrus.Fields{
+				"service": s.name, "stream": stream, "table": version, "record": recorded, "sequence": s.machine.Table().Sequence,
+			}).Warn("record of a stream contradicts the table of software versions")
+			return "", contradicted
+		}
+	}
+	return version, toldByTable
+}
+
 func (v *StreamVersions) askMachine(s *service, stream uint64, unnamed bool, arrivedAt time.Duration) (string, versionpin.Knowledge) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
