Streams of a route that is not resumable any more are not continued

A caller that took up a stream after a configuration had made its route not resumable was sent to any endpoint, with the last event's ID: nothing pinned the software version. Such a request is now refused as not run (not_resumable).

--- a/cmd/arbutus-front/joined_test.go
+++ b/cmd/arbutus-front/joined_test.go
@@ -129,6 +129,25 @@
 	assert.Equal(t, takeUp(c.startRouter(), "-restarted"), len(begun), "a version that has served for long is known after a restart of all routers")
 }
 
+// Guards against a stream that goes on at another software version because a configuration has
+// ended the resumability of its route, so that nothing pins the version any more.
+func TestStreamsOfARouteThatIsNotResumableAreNotTakenUp(t *testing.T) {
+	c := newCluster(t)
+	c.versionedEngine("old", "v1")
+	router := c.startRouter()
+	c.eventually("streams are served", func() bool { return router.sendPrompt("warm", "/ask/x").status == http.StatusOK })
+	begun := router.beginStreams(t, 4)
+	c.versionedEngine("new", "v2")
+	c.putConfiguration(2, func(config map[string]any) {
+		for _, route := range config["routes"].([]map[string]any) {
+			route["resumable"] = false
+		}
+	})
+	c.eventually("the configuration is in force", func() bool { return router.fleetView().Config.Version == 2 })
+	assert.Equal(t, router.countTakenUp(begun), 0)
+	assert.Equal(t, router.sendPrompt("fresh", "/ask/x").status, http.StatusOK)
+}
+
 // Guards against a router that alone lacks the store and continues streams by what it knew
 // before, and against refusing to continue streams while no router reaches the store.
 func TestStreamsAreTakenUpWithoutStoreOnlyIfAllRoutersLackIt(t *testing.T) {
--- a/modules/relay/version.go
+++ b/modules/relay/version.go
@@ -12,6 +12,9 @@
 	// reasonVersionUnknown is the reason of refusals to continue a stream because no one can
 	// tell which software version began it.
 	reasonVersionUnknown = "software_version_unknown"
+	// reasonNotResumable is the reason of refusals to continue a stream of a route that is not
+	// resumable, or not any more: its software version is not known.
+	reasonNotResumable = "not_resumable"
 	// reasonVersionsUnassigned is the reason of refusals because this router knows no table
 	// of the software versions at which streams may begin.
 	reasonVersionsUnassigned = "software_versions_unassigned"
@@ -24,6 +27,8 @@
 // or go on. It returns the reason if the request must be refused.
 func (x *execution) pinSoftwareVersion(ctx context.Context) (reason string) {
 	switch {
+	case !x.req.resumable() && x.req.Route.Kind == fleet.Stream && x.req.LastEventID != "":
+		return reasonNotResumable
 	case !x.req.resumable():
 	case x.req.LastEventID == "":
 		if x.softwareVersions = x.relay.versions.Begin(ctx, x.req.Service, x.req.ID, x.req.CallerTimeout); len(x.softwareVersions) == 0 {
