A silent attempt is ended only against a place at another endpoint

Cause: silence ended the attempt before anybody asked whether the request can go on elsewhere.

The router now selects an endpoint, charges the retry budget and counts the request as running there, and only then ends the attempt; the next one takes the place. An endpoint that is silent from the begin is suspended as before.

--- a/decision/selection/endpoint.go
+++ b/decision/selection/endpoint.go
@@ -109,6 +109,10 @@
 	return st.running+st.remoteRunning >= e.Slots*maxRequestsPerSlot
 }
 
+func (st *endpointState) hasFreeSlot(e *fleet.Endpoint) bool {
+	return st.running+st.remoteRunning < e.Slots
+}
+
 // ObserveStarted records that a request was sent to the chosen endpoint.
 func (s *Selector) ObserveStarted(now time.Duration, r *Request, c Choice) {
 	s.throttle.Take(now, c.Endpoint.ID)
@@ -249,12 +253,7 @@
 	case OutcomeErrorResponse:
 		st.failureRate += (1 - st.failureRate) * newestOutcomeWeight
 	case OutcomeIncompleteResponse, OutcomeNoResponse:
-		st.unresponsive = o == OutcomeNoResponse
-		st.failureRate += (1 - st.failureRate) * newestOutcomeWeight
-		st.consecutiveFailures++
-		if o == OutcomeNoResponse || st.consecutiveFailures >= failuresToSuspend {
-			st.suspend(now)
-		}
+		st.observeFailure(now, o)
 	}
 	switch {
 	case st.suspensions > suspensionsBefore:
@@ -265,6 +264,23 @@
 	return SuspensionUnchanged
 }
 
+// ObserveSilence records that a request, which goes on, has got nothing from an endpoint for too
+// long. The endpoint gets no further ones for some time.
+func (s *Selector) ObserveSilence(now time.Duration, endpointID string) {
+	st := s.endpointState(endpointID)
+	st.observeFailure(now, OutcomeNoResponse)
+}
+
+// observeFailure records an outcome that counts against the endpoint.
+func (st *endpointState) observeFailure(now time.Duration, o Outcome) {
+	st.unresponsive = o == OutcomeNoResponse
+	st.failureRate += (1 - st.failureRate) * newestOutcomeWeight
+	st.consecutiveFailures++
+	if o == OutcomeNoResponse || st.consecutiveFailures >= failuresToSuspend {
+		st.suspend(now)
+	}
+}
+
 // Health describes an endpoint's failures.
 type Health struct {
 	// FailureRate is the moving average of failed requests, from 0 to 1.
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -78,6 +78,8 @@
 	teamNamespace string
 	// condemned is true after an attempt was not allowed for a part of the prompt.
 	condemned bool
+	// place is held for the next attempt, or nil. The relay's lock guards it.
+	place *heldPlace
 	// excluded are the IDs of the endpoints of earlier attempts.
 	excluded []string
 	attempts int
@@ -167,6 +169,7 @@
 		x.refuse(reason, refusalRetryAfter)
 		return
 	}
+	defer x.releasePlace()
 	for {
 		choice, verdict := x.waitForEndpoint(ctx)
 		if x.condemned {
@@ -337,10 +340,16 @@
 	return d
 }
 
-// waitForEndpoint selects an endpoint. If none is available, or if overload control
+// waitForEndpoint selects an endpoint, that at which a place is held if there is one. If none is available, or if overload control
 // holds the request back, it tries again until the wait limit of the request. It returns
 // overload.Wait if no endpoint is available or ctx has ended.
 func (x *execution) waitForEndpoint(ctx context.Context) (selection.Choice, overload.Verdict) {
+	switch choice, held := x.takePlace(); {
+	case held:
+		return choice, overload.Start
+	case x.condemned:
+		return choice, overload.Wait
+	}
 	waitingSince := time.Now()
 	limit := time.Duration(holdShare * float64(x.req.Route.LatencyObjective))
 	if x.mayHaveRunCount > 0 {
@@ -379,11 +388,7 @@
 	v := r.directory.View()
 	x.teamNamespace = r.teamNamespaceLocked(v.Config, x.req.Team)
 	request := x.selectionRequest()
-	c, ok := r.selector.Select(r.now(), time.Now(), v, request)
-	for i := 1; !ok && i < len(x.softwareVersions); i++ {
-		request.SoftwareVersion = x.softwareVersions[i]
-		c, ok = r.selector.Select(r.now(), time.Now(), v, request)
-	}
+	c, ok := x.selectLocked(v, request)
 	if !ok {
 		x.noEndpointLeft = r.costAwareLocked(x.req.Service) && x.mayHaveRunCount == 0 && x.req.LastEventID == "" && !anyEndpointLeft(v, x.req.Service, x.excluded)
 		return c, overload.Wait
--- a/modules/relay/metrics.go
+++ b/modules/relay/metrics.go
@@ -13,6 +13,7 @@
 	partChanges            *prometheus.CounterVec
 	overloadRefusals       *prometheus.CounterVec
 	fairnessDelays         *prometheus.CounterVec
+	silentAttemptsKept     *prometheus.CounterVec
 }
 
 func (m *metrics) register(r prometheus.Registerer) {
@@ -47,6 +48,9 @@
 	m.fairnessDelays = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "arbutus_overload_fairness_delays_total", Help: "Requests that were held because their team is above its fair share, by priority.",
 	}, []string{"priority"})
-	r.MustRegister(m.overloadRefusals, m.fairnessDelays)
+	m.silentAttemptsKept = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "arbutus_silent_attempts_kept_total", Help: "Attempts that went on although their endpoint was silent, by what prevented another one.",
+	}, []string{"reason"})
+	r.MustRegister(m.overloadRefusals, m.fairnessDelays, m.silentAttemptsKept)
 	r.MustRegister(m.partChanges, m.requests, m.retries, m.retriesDenied, m.refusals, m.firstResponseSeconds, m.expectedCachedTokens, m.expectedComputedTokens)
 }
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -48,11 +48,16 @@
 	silenceTimer *time.Timer
 	// writing is true while events are written to the caller, who may read slowly. The endpoint is
 	// not read meanwhile, so that its silence means nothing.
-	writing      atomic.Bool
-	startedAt    time.Time
-	connection   upstream.ConnectionInfo
-	headReceived bool
-	eventCount   int
+	writing atomic.Bool
+	// silentAt is from when on the endpoint counts as silent, in nanoseconds of Unix time, and
+	// keptWhileSilent means that its silence was noticed and no other one could take the request.
+	// The relay's lock guards the latter.
+	silentAt        atomic.Int64
+	keptWhileSilent bool
+	startedAt       time.Time
+	connection      upstream.ConnectionInfo
+	headReceived    bool
+	eventCount      int
 	// prefillEndRecorded is true after recordPrefillEnded was called. Only the attempt's
 	// goroutine writes it, with the relay's lock held.
 	prefillEndRecorded bool
@@ -147,18 +152,6 @@
 	return time.Duration(firstByteTimeoutFactor * float64(a.req.Route.LatencyObjective))
 }
 
-// onSilence ends an attempt whose endpoint sent nothing for too long, if the retry
-// budget allows another attempt.
-func (a *attempt) onSilence() {
-	if a.writing.Load() {
-		a.silenceTimer.Reset(maxEventGap)
-		return
-	}
-	if a.relay.allowRetry(a.req.Service) {
-		a.cancel(errResponseTimeout)
-	}
-}
-
 // resultOfError returns the result of an attempt whose HTTP request failed with err.
 func (a *attempt) resultOfError(ctx context.Context, err error) result {
 	switch {
@@ -278,8 +271,8 @@
 	a.writing.Store(true)
 	defer func() {
 		a.writing.Store(false)
-		if a.silenceTimer != nil && !event.Comment {
-			a.silenceTimer.Reset(maxEventGap)
+		if !event.Comment {
+			a.observeProgress()
 		}
 	}()
 	if _, err := a.w.Write(event.Raw); err != nil {
@@ -333,9 +326,7 @@
 	a.eventCount++
 	a.recordPrefillEnded(true)
 	a.observeProof(a.output.ObserveOutput(a.relay.now()))
-	if a.silenceTimer != nil {
-		a.silenceTimer.Reset(maxEventGap)
-	}
+	a.observeProgress()
 }
 
 // recordPrefillEnded records that the endpoint has computed the prompt or, if
