Streams move for new weights only to free slots that are held for them

When two of three busy engines were to change their weights, the router ended the attempts of all their streams.

Cause: for each stream the router asked whether an endpoint was available and took nothing there, so that one free place allowed any number of moves.

A stream now moves to a free slot that is held for it before its attempt is ended. All others end where they are, as their engine changes its weights after them. While the process stops, none moves.

--- a/cmd/arbutus-front/moving_test.go
+++ b/cmd/arbutus-front/moving_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -56,3 +57,47 @@
 	assertAllEvents(t, <-done)
 	assert.Equal(t, sound.ExecutionCount("hung"), 1)
 }
+
+// Guards against streams that are cut off because more of them are moved for a change of weights
+// than the other engines take: two engines prepare for it, and all slots are in use.
+func TestChangeOfWeightsMovesNoMoreStreamsThanFitElsewhere(t *testing.T) {
+	for _, streams := range []int{24, 20} {
+		t.Run(fmt.Sprintf("%d of 24 slots in use", streams), func(t *testing.T) {
+			c := newCluster(t)
+			for i := range 3 {
+				e := engineEndpoint(fmt.Sprintf("e%d", i))
+				e.StreamEvents, e.EventInterval = 40, 100*time.Millisecond
+				c.startEndpoint(e)
+			}
+			router := c.startRouter()
+			loaded := func(version uint64) func() bool {
+				return func() bool {
+					for _, e := range c.engines {
+						c.registerEndpoint(e, "ready")
+						if e.WeightsVersion() != version {
+							return false
+						}
+					}
+					return true
+				}
+			}
+			c.store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+			c.eventually("all engines have the first weights", loaded(2))
+			done := make(chan response, streams)
+			for i := range streams {
+				id := fmt.Sprintf("s%d", i)
+				go func() { done <- router.sendPrompt(id, "/ask/x", "Prefix-Hash", promptParts(id)) }()
+				c.eventually("the stream runs", func() bool {
+					return c.engines[0].ExecutionCount(id)+c.engines[1].ExecutionCount(id)+c.engines[2].ExecutionCount(id) > 0
+				})
+			}
+			c.store.Put("versions", "m", map[string]any{"model": "m", "version": 3})
+			for range streams {
+				r := <-done
+				assert.Check(t, r.err)
+				assert.Check(t, len(r.eventIDs()) == 40, "%v", r.eventIDs())
+			}
+			c.eventually("all engines have the next weights", loaded(3))
+		})
+	}
+}
--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -72,6 +72,8 @@
 	// that endpoint changes its weights. The request then runs to its end at its
 	// new endpoint.
 	MovedForWeightsChange bool
+	// FreeSlot requires an endpoint with a free slot, where the request waits for no other one.
+	FreeSlot bool
 	// AllowExpiredWeights allows an endpoint with weights past OldWeightsLimit and
 	// WeightsDeadline. It is set while no router reaches the platform's store, as the
 	// change to the new weights may then take long.
@@ -340,7 +342,7 @@
 // failures.
 func (d *decision) usable(c *candidate) bool {
 	st := c.state
-	return !st.full(c.endpoint) && !d.throttled(c) && d.now >= st.refusalBackoffUntil && (st.weightsChange.version == 0 || !st.changingWeights(d.now, c.endpoint) && !(d.isLong && st.changingWeightsSoon(d.now, c.endpoint))) &&
+	return !st.full(c.endpoint) && !(d.request.FreeSlot && !st.hasFreeSlot(c.endpoint)) && !d.throttled(c) && d.now >= st.refusalBackoffUntil && (st.weightsChange.version == 0 || !st.changingWeights(d.now, c.endpoint) && !(d.isLong && st.changingWeightsSoon(d.now, c.endpoint))) &&
 		(len(d.request.Exclude) == 0 || !slices.Contains(d.request.Exclude, c.endpoint.ID)) && !d.expired(c)
 }
 
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -339,23 +339,19 @@
 	}
 }
 
-// moveStreamsLocked ends the attempts of an endpoint's streams that can continue at
-// another endpoint now. It charges the retry budget first, because a stream whose
-// attempt was ended could not continue without a retry. The caller holds mu.
+// moveStreamsLocked moves the streams of an endpoint to free slots of other endpoints. Those for
+// which there is none go on: the endpoint changes its weights after them. The caller holds mu.
 func (r *Relay) moveStreamsLocked(endpoint string, routers int) {
-	v := r.directory.View()
+	if r.stopAt.Load() != nil {
+		return // What ends in time ends at its endpoint, too.
+	}
 	for a := range r.runningAttempts[endpoint] {
-		if !a.canMove() {
+		if !a.canMove() || a.writing.Load() {
 			continue
 		}
 		request := a.selectionRequest()
-		request.Exclude, request.MovedForWeightsChange = append(slices.Clone(request.Exclude), endpoint), true
-		if _, available := r.selector.Select(r.now(), time.Now(), v, request); !available {
-			continue
-		}
-		if r.retryBudgetLocked(a.req.Service, routers).AllowShare(r.now(), streamMoveBudgetShare) {
-			a.cancel(errMovedForWeightsChange)
-		}
+		request.MovedForWeightsChange, request.FreeSlot = true, true
+		a.moveLocked(errMovedForWeightsChange, request, streamMoveBudgetShare, routers)
 	}
 }
 
