modules/relay: moves are decided under the lock alone

A timer that fired as its attempt ended read the excluded endpoints and the number of events beside the request's goroutine (by reading; the race detector did not show it). The request of the selection is now built after the check that the attempt runs. A request with a condemned prompt part keeps its attempt: no endpoint would get it.

--- a/cmd/arbutus-front/lines_test.go
+++ b/cmd/arbutus-front/lines_test.go
@@ -95,7 +95,7 @@
 	"failed to encode records of streams":                           {"error"},
 	"ignored invalid records of streams":                            {"router", "error"},
 
-	"endpoint is silent and no other one can take the request": {"request", "route", "service", "endpoint", "try", "reason", "events", "try_ms"},
+	"endpoint is silent and no other one can take the request": {"request", "route", "service", "endpoint", "try", "reason", "begun", "try_ms"},
 
 	// Budgets and requests that crash endpoints.
 	"retry budget exhausted":                        {"service", "first", "retries", "slack"},
--- a/modules/relay/place.go
+++ b/modules/relay/place.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/arbutusline/arbutusline/decision/poison"
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/fleet"
 )
@@ -24,34 +25,58 @@
 	moved          moveOutcome = "moved"
 	attemptEnded   moveOutcome = "ended"
 	noOtherPlace   moveOutcome = "no_endpoint"
+	partCondemned  moveOutcome = reasonPartCrashesEngines
 	noBudgetToMove moveOutcome = "budget"
 )
 
-// moveLocked ends a running attempt with a cause if the request can go on at another endpoint.
-// It first holds a place there and charges the retry budget for the next attempt, so that what
-// works is not given up for nothing. budgetShare is the share of the retry budget that may be
-// used, and routers the number of routers that share it. The caller holds the relay's lock.
-func (a *attempt) moveLocked(cause error, request *selection.Request, budgetShare float64, routers int) moveOutcome {
+// moveReason is why a running attempt is to be ended so that its request goes on elsewhere.
+type moveReason struct {
+	// cause is the cause with which the attempt is cancelled.
+	cause error
+	// budgetShare is the share of the retry budget that may be used.
+	budgetShare float64
+	// forWeights is true if the endpoint works and only changes its weights later.
+	forWeights bool
+}
+
+var (
+	movedForSilence = moveReason{cause: errResponseTimeout, budgetShare: 1}
+	movedForWeights = moveReason{cause: errMovedForWeightsChange, budgetShare: streamMoveBudgetShare, forWeights: true}
+)
+
+// moveLocked ends a running attempt if its request can go on at another endpoint. It first holds a
+// place there and charges the retry budget for the next attempt, so that what works is not given up
+// for nothing. routers is the number of routers that share the budget. The caller holds the relay's
+// lock.
+func (a *attempt) moveLocked(reason moveReason, routers int) moveOutcome {
 	r := a.relay
 	if a.place != nil || !r.runningAttempts[a.choice.Endpoint.ID][a] {
 		return attemptEnded
 	}
-	v := r.directory.View()
+	if verdict, _ := r.suspects.Decide(r.now(), a.sharedParts); verdict == poison.Refuse {
+		return partCondemned
+	}
+	v, request := r.directory.View(), a.selectionRequest()
 	request.Exclude = append(slices.Clone(request.Exclude), a.choice.Endpoint.ID)
 	request.CacheNamespace = r.teamNamespaceLocked(v.Config, a.req.Team)
+	if reason.forWeights {
+		request.MovedForWeightsChange, request.FreeSlot = true, true
+	}
 	choice, ok := a.selectLocked(v, request)
 	if !ok {
 		return noOtherPlace
 	}
 	budget := r.retryBudgetLocked(a.req.Service, routers)
-	allowed := budget.AllowShare(r.now(), budgetShare)
-	r.logBudgetChangeLocked(a.req.Service, budget, allowed)
+	allowed := budget.AllowShare(r.now(), reason.budgetShare)
+	if !reason.forWeights {
+		r.logBudgetChangeLocked(a.req.Service, budget, allowed)
+	}
 	if !allowed {
 		return noBudgetToMove
 	}
 	r.selector.ObserveStarted(r.now(), request, choice)
 	a.place = &heldPlace{choice, request}
-	a.cancel(cause)
+	a.cancel(reason.cause)
 	return moved
 }
 
@@ -134,7 +159,7 @@
 	routers := a.relay.directory.RouterCount()
 	a.relay.mu.Lock()
 	defer a.relay.mu.Unlock()
-	outcome := a.moveLocked(errResponseTimeout, a.selectionRequest(), 1, routers)
+	outcome := a.moveLocked(movedForSilence, routers)
 	if outcome == moved || outcome == attemptEnded {
 		return
 	}
@@ -142,10 +167,10 @@
 		a.keptWhileSilent = true
 		a.relay.metrics.silentAttemptsKept.WithLabelValues(string(outcome)).Inc()
 		a.log().WithFields(logrus.Fields{
-			"endpoint": a.choice.Endpoint.ID, "try": a.attempts, "reason": string(outcome), "events": a.eventCount,
+			"endpoint": a.choice.Endpoint.ID, "try": a.attempts, "reason": string(outcome), "begun": a.prefillEndRecorded,
 			"try_ms": time.Since(a.startedAt).Milliseconds(),
 		}).Warn("endpoint is silent and no other one can take the request")
-		if a.eventCount == 0 {
+		if !a.prefillEndRecorded {
 			a.relay.selector.ObserveSilence(a.relay.now(), a.choice.Endpoint.ID)
 		}
 	}
--- a/modules/relay/relay.go
+++ b/modules/relay/relay.go
@@ -346,12 +346,9 @@
 		return // What ends in time ends at its endpoint, too.
 	}
 	for a := range r.runningAttempts[endpoint] {
-		if !a.canMove() || a.writing.Load() {
-			continue
+		if a.canMove() && !a.writing.Load() {
+			a.moveLocked(movedForWeights, routers)
 		}
-		request := a.selectionRequest()
-		request.MovedForWeightsChange, request.FreeSlot = true, true
-		a.moveLocked(errMovedForWeightsChange, request, streamMoveBudgetShare, routers)
 	}
 }
 
