--- a/decision/versionpin/history_test.go
+++ b/decision/versionpin/history_test.go
@@ -600,6 +600,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			var begun, refused, takenUp, continued, movedTakenUp, movedContinued int
 			for seed := range uint64(*seeds) {
 				w := newWorld(seed, 4)
