--- a/decision/selection/selection.go
+++ b/decision/selection/selection.go
@@ -342,7 +342,7 @@
 // failures.
 func (d *decision) usable(c *candidate) bool {
 	st := c.state
-	return !st.full(c.endpoint) && !(d.request.FreeSlot && !st.hasFreeSlot(c.endpoint)) && !d.throttled(c) && d.now >= st.refusalBackoffUntil && (st.weightsChange.version == 0 || !st.changingWeights(d.now, c.endpoint) && !(d.isLong && st.changingWeightsSoon(d.now, c.endpoint))) &&
+	return !st.full(c.endpoint) && (!d.request.FreeSlot || st.hasFreeSlot(c.endpoint)) && !d.throttled(c) && d.now >= st.refusalBackoffUntil && (st.weightsChange.version == 0 || !st.changingWeights(d.now, c.endpoint) && !(d.isLong && st.changingWeightsSoon(d.now, c.endpoint))) &&
 		(len(d.request.Exclude) == 0 || !slices.Contains(d.request.Exclude, c.endpoint.ID)) && !d.expired(c)
 }
 
--- a/decision/versionpin/machine.go
+++ b/decision/versionpin/machine.go
@@ -62,8 +62,8 @@
 	unsureOf *fleet.StorePosition
 	// unsureBefore is true if an earlier write was unsure when the last one began.
 	unsureBefore bool
-	// lifetimes are those of the streams of which this router knows, and lifetimesKnownSince is
-	// since when it knows, together with the table, those of all live streams.
+	// lifetimes are those of the streams of which this router knows. lifetimesKnownSince is since
+	// when it knows the lifetimes of all streams that begin, 0 before it knows a configuration.
 	lifetimes           lifetimes
 	lifetimesKnownSince time.Duration
 }
@@ -182,8 +182,8 @@
 	if old != nil && old.Era < t.Era {
 		t = t.withUnknownOf(old)
 	}
-	if old == nil || t.StreamLifetime > old.StreamLifetime {
-		m.lifetimesKnownSince = max(m.lifetimesKnownSince, now)
+	if m.lifetimesKnownSince > 0 && (old == nil || t.StreamLifetime > old.StreamLifetime) {
+		m.lifetimesKnownSince = now
 	}
 	m.table = t
 	for slot := range Slots {
--- a/modules/relay/execution.go
+++ b/modules/relay/execution.go
@@ -340,9 +340,9 @@
 	return d
 }
 
-// waitForEndpoint selects an endpoint, that at which a place is held if there is one. If none is available, or if overload control
-// holds the request back, it tries again until the wait limit of the request. It returns
-// overload.Wait if no endpoint is available or ctx has ended.
+// waitForEndpoint selects an endpoint: that at which a place is held, if there is one. If none is
+// available, or if overload control holds the request back, it tries again until the wait limit of
+// the request. It returns overload.Wait if no endpoint is available or ctx has ended.
 func (x *execution) waitForEndpoint(ctx context.Context) (selection.Choice, overload.Verdict) {
 	switch choice, held := x.takePlace(); {
 	case held:
--- a/modules/relay/place.go
+++ b/modules/relay/place.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/arbutusline/arbutusline/decision/poison"
 	"github.com/arbutusline/arbutusline/decision/selection"
 	"github.com/arbutusline/arbutusline/fleet"
@@ -22,11 +20,11 @@
 type moveOutcome string
 
 const (
-	moved          moveOutcome = "moved"
-	attemptEnded   moveOutcome = "ended"
-	noOtherPlace   moveOutcome = "no_endpoint"
-	partCondemned  moveOutcome = reasonPartCrashesEngines
-	noBudgetToMove moveOutcome = "budget"
+	moveBegun       moveOutcome = "moved"
+	moveTooLate     moveOutcome = "ended"
+	moveNoPlace     moveOutcome = "no_endpoint"
+	moveNoBudget    moveOutcome = "budget"
+	movePartRefused moveOutcome = reasonPartCrashesEngines
 )
 
 // moveReason is why a running attempt is to be ended so that its request goes on elsewhere.
@@ -51,10 +49,10 @@
 func (a *attempt) moveLocked(reason moveReason, routers int) moveOutcome {
 	r := a.relay
 	if a.place != nil || !r.runningAttempts[a.choice.Endpoint.ID][a] {
-		return attemptEnded
+		return moveTooLate
 	}
 	if verdict, _ := r.suspects.Decide(r.now(), a.sharedParts); verdict == poison.Refuse {
-		return partCondemned
+		return movePartRefused
 	}
 	v, request := r.directory.View(), a.selectionRequest()
 	request.Exclude = append(slices.Clone(request.Exclude), a.choice.Endpoint.ID)
@@ -64,20 +62,20 @@
 	}
 	choice, ok := a.selectLocked(v, request)
 	if !ok {
-		return noOtherPlace
+		return moveNoPlace
 	}
-	budget := r.retryBudgetLocked(a.req.Service, routers)
-	allowed := budget.AllowShare(r.now(), reason.budgetShare)
+	retries := r.retryBudgetLocked(a.req.Service, routers)
+	allowed := retries.AllowShare(r.now(), reason.budgetShare)
 	if !reason.forWeights {
-		r.logBudgetChangeLocked(a.req.Service, budget, allowed)
+		r.logBudgetChangeLocked(a.req.Service, retries, allowed)
 	}
 	if !allowed {
-		return noBudgetToMove
+		return moveNoBudget
 	}
 	r.selector.ObserveStarted(r.now(), request, choice)
 	a.place = &heldPlace{choice, request}
 	a.cancel(reason.cause)
-	return moved
+	return moveBegun
 }
 
 // selectLocked selects an endpoint, with the software versions that may run the request in order
@@ -142,46 +140,3 @@
 	r.selector.ObservePrefillEnded(p.request, p.choice, false)
 	r.selector.ObserveEnded(r.now(), p.request, p.choice, selection.OutcomeNeutral)
 }
-
-// silentPollInterval is the time between two looks for a place for a request whose endpoint is
-// silent.
-const silentPollInterval = 250 * time.Millisecond
-
-// onSilence moves the request of an attempt whose endpoint has sent nothing for too long. While
-// no other endpoint can take it, or the retry budget does not allow that, the attempt goes on: an
-// engine that lacks memory pauses some of its streams. The caller, who may leave, and the deadline
-// end the wait.
-func (a *attempt) onSilence() {
-	if left := time.Until(time.Unix(0, a.silentAt.Load())); a.writing.Load() || left > 0 {
-		a.silenceTimer.Reset(max(left, silentPollInterval))
-		return
-	}
-	routers := a.relay.directory.RouterCount()
-	a.relay.mu.Lock()
-	defer a.relay.mu.Unlock()
-	outcome := a.moveLocked(movedForSilence, routers)
-	if outcome == moved || outcome == attemptEnded {
-		return
-	}
-	if !a.keptWhileSilent {
-		a.keptWhileSilent = true
-		a.relay.metrics.silentAttemptsKept.WithLabelValues(string(outcome)).Inc()
-		a.log().WithFields(logrus.Fields{
-			"endpoint": a.choice.Endpoint.ID, "try": a.attempts, "reason": string(outcome), "begun": a.prefillEndRecorded,
-			"try_ms": time.Since(a.startedAt).Milliseconds(),
-		}).Warn("endpoint is silent and no other one can take the request")
-		if !a.prefillEndRecorded {
-			a.relay.selector.ObserveSilence(a.relay.now(), a.choice.Endpoint.ID)
-		}
-	}
-	a.silenceTimer.Reset(silentPollInterval)
-}
-
-// observeProgress records that the endpoint has sent output, after which it counts as silent
-// only later.
-func (a *attempt) observeProgress() {
-	if a.silenceTimer != nil {
-		a.silentAt.Store(time.Now().Add(maxEventGap).UnixNano())
-		a.silenceTimer.Reset(maxEventGap)
-	}
-}
--- a/modules/relay/try.go
+++ b/modules/relay/try.go
@@ -22,11 +22,6 @@
 	"github.com/arbutusline/arbutusline/sse"
 )
 
-// maxEventGap is the longest pause between events of a resumable stream before
-// the stream moves to another endpoint. Callers disconnect after a pause of two
-// seconds.
-const maxEventGap = 1200 * time.Millisecond
-
 var (
 	errMovedForWeightsChange = errors.New("stream moved because the endpoint changes its weights")
 	errWeightsExpired        = errors.New("request withdrawn because it had not begun when the endpoint's weights expired")
@@ -49,7 +44,7 @@
 	// writing is true while events are written to the caller, who may read slowly. The endpoint is
 	// not read meanwhile, so that its silence means nothing.
 	writing atomic.Bool
-	// silentAt is from when on the endpoint counts as silent, in nanoseconds of Unix time, and
+	// silentAt is the time.Duration of Relay.now from which on the endpoint counts as silent, and
 	// keptWhileSilent means that its silence was noticed and no other one could take the request.
 	// The relay's lock guards the latter.
 	silentAt        atomic.Int64
@@ -143,15 +138,6 @@
 	}
 }
 
-// firstByteTimeout returns how long the attempt may wait for the first byte of the
-// response, or 0 if only the request's deadline limits it.
-func (a *attempt) firstByteTimeout() time.Duration {
-	if !a.req.Route.Repeatable() || a.mayHaveRunCount+1 >= a.req.Route.MaxAttempts {
-		return 0
-	}
-	return time.Duration(firstByteTimeoutFactor * float64(a.req.Route.LatencyObjective))
-}
-
 // resultOfError returns the result of an attempt whose HTTP request failed with err.
 func (a *attempt) resultOfError(ctx context.Context, err error) result {
 	switch {
