--- a/modules/streamversions/lifetime_test.go
+++ b/modules/streamversions/lifetime_test.go
@@ -7,9 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/arbutusline/arbutusline/decision/replica"
 	"github.com/arbutusline/arbutusline/decision/versionpin"
-	"github.com/arbutusline/arbutusline/fleet"
 	"github.com/arbutusline/arbutusline/internal/bootclock"
 	"github.com/arbutusline/arbutusline/modules/directory"
 	standin "github.com/arbutusline/arbutusline/standin/platform"
@@ -64,15 +62,7 @@
 // which one it began, because its caller came later than the table reckons with.
 func TestStreamIsNotContinuedAgainstItsRecord(t *testing.T) {
 	v, d := startedRouter(t)
-	m := versionpin.NewMachine(versionpin.Config{})
-	m.ObserveRead(0, 0, nil, fleet.StorePosition{Era: 2})
-	p, _ := m.Propose(0, versionpin.Circumstances{Capacity: versionpin.Capacity{"v2": 1}, Alone: true})
-	table, err := json.Marshal(p.Table)
-	assert.NilError(t, err)
-	d.MergeDelta(directory.KindSoftwareVersions, replica.Delta{
-		At: fleet.StorePosition{Era: 2, Revision: 9}, Complete: true,
-		Entries: []replica.Entry{{Name: "llm", Revision: 9, Spec: table}},
-	})
+	mergeFirstTable(t, d, "v2")
 	v.Record("llm", "old", "v1")
 	v.Record("llm", "new", "v2")
 	for id, want := range map[string]takeUpResult{"old": contradicted, "new": toldByTable, "unrecorded": toldByTable} {
--- a/modules/streamversions/start_test.go
+++ b/modules/streamversions/start_test.go
@@ -37,21 +37,26 @@
 	return v, d
 }
 
+// mergeFirstTable lets a router learn a table in which all streams begin at one software version.
+func mergeFirstTable(t *testing.T, d *directory.Directory, version string) {
+	position := fleet.StorePosition{Era: 2, Revision: 9}
+	m := versionpin.NewMachine(versionpin.Config{})
+	m.ObserveRead(0, 0, nil, fleet.StorePosition{Era: position.Era})
+	p, _ := m.Propose(0, versionpin.Circumstances{Capacity: versionpin.Capacity{version: 1}, Alone: true})
+	table, err := json.Marshal(p.Table)
+	assert.Check(t, err)
+	d.MergeDelta(directory.KindSoftwareVersions, replica.Delta{
+		At: position, Complete: true, Entries: []replica.Entry{{Name: "llm", Revision: position.Revision, Spec: table}},
+	})
+}
+
 // Guards against a router that refuses streams just after its start because it has learned its
 // configuration sooner than the software versions of streams.
 func TestFirstStreamsWaitForTheSoftwareVersions(t *testing.T) {
 	v, d := startedRouter(t)
 	go func() {
 		time.Sleep(20 * time.Millisecond)
-		m := versionpin.NewMachine(versionpin.Config{})
-		m.ObserveRead(0, 0, nil, fleet.StorePosition{Era: 2})
-		p, _ := m.Propose(0, versionpin.Circumstances{Capacity: versionpin.Capacity{"v1": 1}, Alone: true})
-		table, err := json.Marshal(p.Table)
-		assert.Check(t, err)
-		d.MergeDelta(directory.KindSoftwareVersions, replica.Delta{
-			At: fleet.StorePosition{Era: 2, Revision: 9}, Complete: true,
-			Entries: []replica.Entry{{Name: "llm", Revision: 9, Spec: table}},
-		})
+		mergeFirstTable(t, d, "v1")
 		d.ObserveContact()
 	}()
 	versions := v.Begin(t.Context(), "llm", "a", 0)
